--- /dev/null
+++ b/src/catalog/job.hpp
@@ -0,0 +1,88 @@
+// A job and its tasks, as the deciding node knows them.
+#pragma once
+#include "wire/types.hpp"
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spindlecroft::catalog {
+
+struct task_ref {
+    std::string job;
+    std::uint32_t index = 0;
+    auto operator<=>(const task_ref &) const = default;
+};
+
+enum class attempt_phase {
+    committing, // its placement is being written; nothing was sent
+    committed,  // placement durable; start may be sent
+    sent,       // start was sent, or an earlier leader may have sent it: presumed there
+    fetching,
+    running,
+    saving,
+    exited,
+};
+
+struct attempt {
+    task_ref task;
+    std::uint64_t number = 0;
+    std::string machine;
+    attempt_phase phase = attempt_phase::committing;
+    exit_cause cause = exit_cause::none;
+    double estimate_s = 0;     // run time expected on this machine
+    double created_at = 0;     // s
+    double running_since = -1; // s, when first reported running
+    double fetch_since = -1;   // s
+    std::uint64_t sent_session = 0, sent_seq = 0; // report whose answer carried the start
+    bool inherited = false;    // from an earlier leader's placement record
+    bool stop_wanted = false;
+    double grace_s = 0;
+    double stop_since = -1;
+    bool settled = false; // exited and its consequence is durable: may be forgotten
+    // Presumed on the machine: everything from the first send until proven gone.
+    bool present() const {
+        return phase != attempt_phase::committing && phase != attempt_phase::committed &&
+               phase != attempt_phase::exited;
+    }
+    bool holds_room() const { return phase != attempt_phase::exited; }
+};
+
+struct job {
+    job_spec spec;
+    std::uint64_t version = 0; // of its record in the state service
+    double accepted_at = 0;    // s, steady clock of this node
+    bool cancelled = false;
+    double cancelled_at = 0;
+    bool end_writing = false, ended = false;
+
+    std::vector<bool> done;         // known done (durable or being written)
+    std::uint32_t done_count = 0;   // durable
+    std::uint32_t done_seen = 0;    // reported, perhaps not yet durable
+    std::uint32_t next_fresh = 0;   // tasks from here on were never placed
+    std::set<std::uint32_t> again;  // placed before, to be placed again
+    std::map<std::uint32_t, std::string> queued; // in the queue of this machine
+    std::map<std::uint32_t, attempt> live;
+    std::vector<bool> done_durable; // of these, written
+    double write_after = 0;         // s; pause after a conflict
+    std::set<std::uint32_t> done_dirty, placed_dirty; // chunks to write
+    std::set<std::uint32_t> done_busy, placed_busy;                 // chunks being written
+    std::set<std::uint32_t> placed_keys, done_keys;                 // chunks that exist
+
+    double took_sum = 0; // s; run times of its done tasks, at the speed of an ordinary machine
+    int took_count = 0;
+    int failures = 0;
+    double backoff_until = 0;
+    std::set<std::string> failed_on;
+
+    bool over() const { return cancelled || ended || end_writing; }
+    // Tasks neither done, queued nor on a machine.
+    std::uint32_t waiting() const;
+    bool pop_waiting(std::uint32_t &index);
+    void push_back(std::uint32_t index);
+    std::uint32_t running() const;
+    // Replicas, or tasks, that may be in one zone.
+    std::uint32_t zone_cap() const { return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks; }
+};
+
+} // namespace spindlecroft::catalog
--- /dev/null
+++ b/src/catalog/job_cache.cpp
@@ -0,0 +1,162 @@
+#include "catalog/job_cache.hpp"
+#include "constants.hpp"
+#include "control/engine.hpp"
+
+namespace spindlecroft::catalog {
+
+namespace c = constants;
+using net::awaitable;
+using net::now_s;
+
+job_cache::job_cache(net::asio::io_context &io, store::state_client &state)
+    : io_(io), state_(state), wake_(io), served_(io) {}
+
+void job_cache::stop() {
+    stopping_ = true;
+    wake_.notify();
+    served_.notify();
+}
+
+const cached_job *job_cache::active(const std::string &id) const {
+    auto i = active_.find(id);
+    return i == active_.end() ? nullptr : &i->second;
+}
+
+std::optional<wire::ended_record> job_cache::ended(const std::string &id) const {
+    auto i = ended_.find(id);
+    if (i == ended_.end())
+        return std::nullopt;
+    return i->second;
+}
+
+void job_cache::remember(const std::string &id, const wire::ended_record &r) {
+    if (ended_.emplace(id, r).second) {
+        ended_order_.push_back(id);
+        if (ended_order_.size() > c::ended_in_memory) {
+            ended_.erase(ended_order_.front());
+            ended_order_.pop_front();
+        }
+    }
+}
+
+awaitable<std::optional<std::optional<wire::ended_record>>> job_cache::read_ended(std::string id) {
+    auto i = co_await state_.get(control::ended_key(id), store::urgency::accept);
+    if (!i)
+        co_return std::nullopt;
+    if (!i->found)
+        co_return std::optional<std::optional<wire::ended_record>>(std::in_place, std::nullopt);
+    auto r = wire::parse_ended(i->kv.value);
+    remember(id, r);
+    co_return std::optional<std::optional<wire::ended_record>>(std::in_place, r);
+}
+
+awaitable<bool> job_cache::load() {
+    auto a = co_await state_.list(control::active_prefix, store::urgency::accept);
+    if (!a)
+        co_return false;
+    std::map<std::string, cached_job> fresh;
+    const std::string prefix = control::active_prefix;
+    for (auto &i : a->items) {
+        try {
+            fresh[i.key.substr(prefix.size())] = {wire::parse_job_record(i.value), i.version};
+        } catch (const wire::bad_message &e) {
+            spdlog::error("{}: {}", i.key, e.what());
+        }
+    }
+    active_ = std::move(fresh);
+    revision_ = a->revision;
+    loaded_ = true;
+    reload_ = false;
+    if (on_active)
+        for (auto &[id, j] : active_)
+            on_active(id, j);
+    co_return true;
+}
+
+// The answer holds every change after its `since` up to its revision. Since the cache is at a
+// revision not below that `since`, what is newer than the cache brings it to the answer's.
+void job_cache::apply(const wire::range_answer &a) {
+    if (a.revision <= revision_)
+        return;
+    const std::string active = control::active_prefix, ended = control::ended_prefix;
+    for (auto &i : a.items) {
+        if (i.version <= revision_)
+            continue;
+        try {
+            if (i.key.starts_with(active)) {
+                auto id = i.key.substr(active.size());
+                if (i.value.empty()) {
+                    active_.erase(id);
+                } else {
+                    auto &j = active_[id] = {wire::parse_job_record(i.value), i.version};
+                    if (on_active)
+                        on_active(id, j);
+                }
+            } else if (i.key.starts_with(ended) && !i.value.empty()) {
+                remember(i.key.substr(ended.size()), wire::parse_ended(i.value));
+            }
+        } catch (const wire::bad_message &e) {
+            spdlog::error("{}: {}", i.key, e.what());
+        }
+    }
+    revision_ = a.revision;
+}
+
+// Changes as they come, without anybody asking.
+awaitable<void> job_cache::run_watch() {
+    while (!stopping_) {
+        if (!loaded_ || reload_) {
+            if (!co_await load())
+                co_await net::sleep_s(c::state_retry_s);
+            continue;
+        }
+        bool gone = false;
+        auto since = revision_;
+        auto w = co_await state_.watch(control::jobs_prefix, since, c::watch_hold_ms,
+                                       store::urgency::placement, gone);
+        if (gone)
+            reload_ = true;
+        else if (w)
+            apply(*w);
+        co_await net::sleep_s(w ? c::watch_gap_s : c::state_retry_s);
+    }
+}
+
+// The shared reads for polls.
+awaitable<void> job_cache::run_reads() {
+    while (!stopping_) {
+        if (reads_wanted_ == reads_done_ || !loaded_) {
+            co_await wake_.wait_for(loaded_ ? 1.0 : 0.1);
+            continue;
+        }
+        auto serving = reads_wanted_;
+        bool gone = false;
+        auto w = co_await state_.watch(control::jobs_prefix, revision_, 0, store::urgency::accept,
+                                       gone);
+        if (gone)
+            reload_ = true;
+        if (w) {
+            apply(*w);
+            reads_done_ = serving;
+            served_.notify();
+            co_await net::sleep_s(c::fence_gap_s);
+        } else {
+            co_await net::sleep_s(c::state_retry_s);
+        }
+    }
+}
+
+awaitable<bool> job_cache::catch_up(double limit_s) {
+    auto mine = ++reads_wanted_;
+    double limit = now_s() + limit_s;
+    wake_.notify();
+    while (!stopping_ && reads_done_ < mine) {
+        double left = limit - now_s();
+        if (left <= 0)
+            co_return false;
+        co_await served_.wait_for(left);
+    }
+    co_return !stopping_;
+}
+
+} // namespace spindlecroft::catalog
--- /dev/null
+++ b/src/catalog/job_cache.hpp
@@ -0,0 +1,55 @@
+// Every node's copy of the jobs' records, kept by a watch. One shared read brings it up to date for
+// all polls that wait.
+#pragma once
+#include "net/async.hpp"
+#include "store/state_client.hpp"
+#include <deque>
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace spindlecroft::catalog {
+
+struct cached_job {
+    wire::job_record record;
+    std::uint64_t version = 0;
+};
+
+class job_cache {
+  public:
+    job_cache(net::asio::io_context &io, store::state_client &state);
+    net::awaitable<void> run_watch();
+    net::awaitable<void> run_reads();
+    void stop();
+
+    // Returns true once the cache is at least as new as the moment of the call; false if the
+    // state service could not be read within the time.
+    net::awaitable<bool> catch_up(double limit_s);
+    const cached_job *active(const std::string &id) const;
+    std::optional<wire::ended_record> ended(const std::string &id) const;
+    // Reads the ended record of a job that is neither active nor at hand.
+    // Nothing: could not be read. Holds nothing: there is none.
+    net::awaitable<std::optional<std::optional<wire::ended_record>>> read_ended(std::string id);
+    const std::map<std::string, cached_job> &all() const { return active_; }
+    bool loaded() const { return loaded_; }
+    std::uint64_t revision() const { return revision_; }
+
+    std::function<void(const std::string &, const cached_job &)> on_active;
+
+  private:
+    net::awaitable<bool> load();
+    void apply(const wire::range_answer &a);
+    void remember(const std::string &id, const wire::ended_record &r);
+    net::asio::io_context &io_;
+    store::state_client &state_;
+    std::map<std::string, cached_job> active_;
+    std::unordered_map<std::string, wire::ended_record> ended_;
+    std::deque<std::string> ended_order_;
+    std::uint64_t revision_ = 0;
+    bool loaded_ = false, stopping_ = false, reload_ = false;
+    std::uint64_t reads_wanted_ = 0; // number of the newest call that waits
+    std::uint64_t reads_done_ = 0;   // calls up to this one are served
+    net::signal wake_, served_;
+};
+
+} // namespace spindlecroft::catalog
--- /dev/null
+++ b/src/control/controller.cpp
@@ -0,0 +1,741 @@
+#include "control/controller.hpp"
+#include "constants.hpp"
+#include <chrono>
+#include <fmt/format.h>
+
+namespace spindlecroft::control {
+
+namespace c = constants;
+using net::awaitable;
+using net::now_s;
+using net::response;
+
+static double wall_s() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+struct controller::leadership {
+    leadership(net::asio::io_context &io, store::state_client &state, const settings::settings &s)
+        : commits(io, state, s, "leader"), wake(io) {}
+    std::unique_ptr<engine> core; // once the records are read
+    store::committer commits;
+    net::signal wake;
+    bool over = false;
+    std::set<std::string> commanding;
+    std::map<std::string, std::unique_ptr<net::client>> workers;
+};
+
+static response error(int status, const std::string &what, int retry = 0) {
+    return {status, wire::encode_error(what), retry, false};
+}
+static response unsure(const std::string &what) { return error(503, what, c::retry_after_s); }
+
+static net::server_limits limits_of(const settings::settings &s, bool back) {
+    auto sockets = static_cast<std::size_t>(s.max_connections);
+    auto kept = static_cast<std::size_t>(c::reserved_sockets * static_cast<double>(sockets));
+    return {back ? std::max<std::size_t>(16, kept / 4) : sockets - kept, c::idle_connection_s,
+            c::slow_request_s};
+}
+
+controller::controller(net::asio::io_context &io, const settings::settings &s)
+    : io_(io), settings_(s), state_(io, settings_), member_(io, settings_, state_),
+      cache_(io, state_), user_commits_(io, state_, settings_, "users"),
+      cloud_(io, settings_.cloud, c::pool_idle), cloud_budget_(0.9 * settings_.cloud_rps, 2.0),
+      api_(
+          io, settings_.api, [this](net::request r) { return on_api(std::move(r)); },
+          limits_of(settings_, false), "api"),
+      back_(
+          io, settings_.back, [this](net::request r) { return on_peer(std::move(r)); },
+          limits_of(settings_, true), "back") {
+    member_.on_elected = [this] { elected(); };
+    member_.on_deposed = [this] { deposed(); };
+    member_.on_token = [this](std::uint64_t token) {
+        if (lead_ && lead_->core)
+            lead_->core->on_token(token);
+    };
+    cache_.on_active = [this](const std::string &id, const catalog::cached_job &j) {
+        if (lead_ && lead_->core) {
+            lead_->core->on_job(id, j.record, j.version, now_s());
+            lead_->wake.notify();
+        }
+    };
+}
+
+void controller::start() {
+    back_.start();
+    api_.start();
+    net::spawn(io_, member_.run(), "membership");
+    net::spawn(io_, cache_.run_watch(), "watch");
+    net::spawn(io_, cache_.run_reads(), "reads");
+    net::spawn(io_, user_commits_.run(), "user commits");
+    net::spawn(io_, load_types(), "machine types");
+}
+
+void controller::stop() {
+    stopping_ = true;
+    api_.stop();
+    back_.stop();
+    member_.stop();
+    cache_.stop();
+    user_commits_.stop();
+    deposed();
+}
+
+// --- requests ---
+
+awaitable<response> controller::on_api(net::request r) {
+    auto target = r.target.substr(0, r.target.find('?'));
+    const std::string jobs = wire::path_jobs;
+    if (target == wire::path_report) {
+        if (r.method != "POST")
+            co_return error(405, "use POST");
+        co_return co_await on_checkin(std::move(r.body));
+    }
+    if (target == wire::path_ready) {
+        if (r.method != "GET")
+            co_return error(405, "use GET");
+        co_return ready();
+    }
+    if (target == jobs) {
+        if (r.method != "POST")
+            co_return error(405, "use POST");
+        co_return co_await on_submit(std::move(r.body));
+    }
+    if (target.starts_with(jobs + "/")) {
+        auto id = target.substr(jobs.size() + 1);
+        const std::string suffix = std::string("/") + wire::suffix_cancel;
+        if (id.ends_with(suffix)) {
+            id.resize(id.size() - suffix.size());
+            if (r.method != "POST")
+                co_return error(405, "use POST");
+            co_return co_await on_cancel(std::move(id));
+        }
+        if (id.find('/') != std::string::npos)
+            co_return error(404, "no such path");
+        if (r.method != "GET")
+            co_return error(405, "use GET");
+        co_return co_await on_poll(std::move(id));
+    }
+    co_return error(404, "no such path");
+}
+
+response controller::ready() const {
+    if (!cache_.loaded() || !types_)
+        return unsure("starting");
+    // Cut from the state service while others are not: they serve better.
+    if (state_.silence(now_s()) > 4.0 && member_.state_served_elsewhere())
+        return unsure("no state service");
+    return {200, "{}", 0, false};
+}
+
+std::string controller::rejection(const job_spec &s) const {
+    fairness::team_queues teams(settings_.teams);
+    if (!teams.find(s.team))
+        return "unknown team " + s.team;
+    bool fits = false;
+    for (auto &t : *types_) {
+        if (s.types && std::find(s.types->begin(), s.types->end(), t.name) == s.types->end())
+            continue;
+        if (s.zone && std::find(t.zones.begin(), t.zones.end(), *s.zone) == t.zones.end())
+            continue;
+        fits = fits || bidding::room{t.cpus, t.gpus, t.memory_gb}.fits(s);
+    }
+    if (!fits)
+        return "a task fits no allowed machine type";
+    if (!teams.can_ever_run(s))
+        return "the job needs more than its team's limit";
+    return "";
+}
+
+awaitable<std::optional<store::unit_outcome>> controller::commit(store::unit u, double limit_s) {
+    struct shared {
+        explicit shared(net::asio::io_context &io) : signal(io) {}
+        net::signal signal;
+        std::optional<store::unit_outcome> how;
+    };
+    auto s = std::make_shared<shared>(io_);
+    u.result = [s](store::unit_outcome how, std::uint64_t) {
+        s->how = how;
+        s->signal.notify();
+    };
+    user_commits_.submit(std::move(u));
+    double limit = now_s() + limit_s;
+    while (!s->how && now_s() < limit)
+        co_await s->signal.wait_for(limit - now_s());
+    co_return s->how;
+}
+
+awaitable<std::optional<std::optional<job_status>>> controller::current(std::string id) {
+    using result = std::optional<std::optional<job_status>>;
+    if (!co_await cache_.catch_up(1.5))
+        co_return std::nullopt;
+    job_status s;
+    s.id = id;
+    if (auto *j = cache_.active(id)) {
+        if (j->record.cancelled) {
+            s.stage = job_stage::cancelled;
+            co_return result(s);
+        }
+        std::optional<engine::progress> p;
+        if (lead_ && lead_->core) {
+            p = lead_->core->job_progress(id);
+        } else {
+            auto i = progress_.find(id);
+            if (i != progress_.end())
+                p = i->second;
+            if (!progress_busy_ && now_s() - progress_at_ > 1.0)
+                net::spawn(io_, fetch_progress(), "progress");
+        }
+        if (p) {
+            s.done = p->done;
+            s.running = p->running;
+        }
+        s.stage = s.running > 0 ? job_stage::running : job_stage::pending;
+        co_return result(s);
+    }
+    auto e = cache_.ended(id);
+    if (!e) {
+        auto read = co_await cache_.read_ended(id);
+        if (!read)
+            co_return std::nullopt;
+        if (!*read) {
+            // Neither active at the shared read nor ended after it: never accepted then. Unless
+            // the watch has it by now.
+            if (cache_.active(id))
+                co_return std::nullopt;
+            co_return result(std::in_place, std::nullopt);
+        }
+        e = **read;
+    }
+    s.stage = e->stage;
+    s.done = e->done;
+    co_return result(s);
+}
+
+awaitable<response> controller::on_submit(std::string body) {
+    job_spec spec;
+    try {
+        spec = wire::parse_submission(body);
+    } catch (const wire::bad_message &e) {
+        co_return error(400, e.what());
+    }
+    if (!cache_.loaded() || !types_ || user_commits_.full())
+        co_return unsure("not yet able to decide");
+    auto why = rejection(spec);
+    wire::job_record record;
+    record.accepted_at = wall_s();
+    record.spec = spec;
+    auto value = wire::encode_job_record(record);
+    if (value.size() + 16 > settings_.value_kb * 1024)
+        co_return error(400, "frames: the description is too long");
+    if (cache_.active(spec.id) || cache_.ended(spec.id) || !why.empty()) {
+        auto now = co_await current(spec.id);
+        if (!now)
+            co_return unsure("the state service does not answer");
+        if (*now)
+            co_return response{200, wire::encode_accepted(spec.id, (*now)->stage), 0, false};
+        if (!why.empty())
+            co_return error(422, why);
+    }
+    store::unit u;
+    u.rank = store::urgency::accept;
+    u.when = {{active_key(spec.id), 0}, {ended_key(spec.id), 0}};
+    u.ops = {{active_key(spec.id), value, 0}};
+    auto how = co_await commit(std::move(u), c::user_request_s - 1.5);
+    if (how == store::unit_outcome::committed)
+        co_return response{201, wire::encode_accepted(spec.id, job_stage::pending), 0, false};
+    if (how == store::unit_outcome::conflict) {
+        auto now = co_await current(spec.id);
+        if (now && *now)
+            co_return response{200, wire::encode_accepted(spec.id, (*now)->stage), 0, false};
+    }
+    co_return unsure("the state service does not answer");
+}
+
+awaitable<response> controller::on_poll(std::string id) {
+    if (!wire::valid_job_id(id))
+        co_return error(404, "no such job");
+    if (!cache_.loaded())
+        co_return unsure("starting");
+    auto s = co_await current(id);
+    if (!s)
+        co_return unsure("the state service does not answer");
+    if (!*s)
+        co_return error(404, "no such job");
+    co_return response{200, wire::encode_status(**s), 0, false};
+}
+
+awaitable<response> controller::on_cancel(std::string id) {
+    if (!wire::valid_job_id(id))
+        co_return error(404, "no such job");
+    if (!cache_.loaded() || user_commits_.full())
+        co_return unsure("starting");
+    double limit = now_s() + c::user_request_s;
+    while (now_s() < limit - 1.5) {
+        auto s = co_await current(id);
+        if (!s)
+            co_return unsure("the state service does not answer");
+        if (!*s)
+            co_return error(404, "no such job");
+        if ((*s)->stage == job_stage::done || (*s)->stage == job_stage::cancelled)
+            co_return response{200, wire::encode_accepted(id, (*s)->stage), 0, false};
+        auto *j = cache_.active(id);
+        if (!j)
+            continue;
+        auto record = j->record;
+        record.cancelled = true;
+        store::unit u;
+        u.rank = store::urgency::cancel;
+        u.when = {{active_key(id), j->version}};
+        u.ops = {{active_key(id), wire::encode_job_record(record), 0}};
+        auto how = co_await commit(std::move(u), std::max(0.2, limit - now_s()));
+        if (how == store::unit_outcome::committed)
+            co_return response{200, wire::encode_accepted(id, job_stage::cancelled), 0, false};
+        if (how != store::unit_outcome::conflict)
+            break;
+    }
+    co_return unsure("the state service does not answer");
+}
+
+awaitable<response> controller::on_checkin(std::string body) {
+    auto elsewhere = [&] {
+        auto hint = member_.leader_hint();
+        return response{421, wire::encode_redirect(hint == settings_.node ? "" : hint), 0, false};
+    };
+    member_.note_report();
+    if (!member_.leading() || !lead_)
+        co_return elsewhere();
+    auto l = lead_;
+    // A new leader that is still reading the records has an answer within moments.
+    for (double limit = now_s() + 1.5; !l->core && now_s() < limit && in_charge(l);)
+        co_await net::sleep_s(0.05);
+    if (!l->core || !in_charge(l))
+        co_return elsewhere();
+    worker_report report;
+    try {
+        report = wire::parse_report(body);
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("a report was malformed: {}", e.what());
+        co_return error(400, e.what());
+    }
+    double now = now_s();
+    auto age = l->core->on_report(report, now);
+    l->wake.notify();
+    if (age == engine::report_age::dead)
+        co_return unsure("out of date");
+    auto orders = l->core->orders_in_answer(report.machine, now);
+    auto text = wire::encode_orders(member_.token(), orders);
+    // Orders that do not fit a line wait for the next report.
+    while (text.size() > c::line_limit - 1024 && orders.size() > 1) {
+        orders.resize(orders.size() / 2);
+        text = wire::encode_orders(member_.token(), orders);
+    }
+    // Checked right before the answer: without entitlement it must not renew a lease.
+    if (!in_charge(l))
+        co_return elsewhere();
+    l->core->answered(report.machine, now_s());
+    co_return response{200, text, 0, false};
+}
+
+// --- other controllers ---
+
+awaitable<response> controller::on_peer(net::request r) {
+    if (r.method != "POST" || r.target != "/member")
+        co_return error(404, "no such path");
+    try {
+        auto m = wire::parse_peer(r.body);
+        if (m.text("kind") == "progress") {
+            wire::peer_message out;
+            if (lead_ && lead_->core && member_.leading()) {
+                out.numbers[":leading"] = 1;
+                for (auto &[id, j] : lead_->core->jobs())
+                    out.numbers[id] =
+                        (static_cast<std::uint64_t>(j.done_count) << 32) | j.running();
+            }
+            co_return response{200, wire::encode_peer(out), 0, true};
+        }
+        co_return response{200, member_.on_message(r.body), 0, true};
+    } catch (const wire::bad_message &e) {
+        co_return error(400, e.what());
+    }
+}
+
+awaitable<void> controller::fetch_progress() {
+    progress_busy_ = true;
+    auto *p = member_.peer(member_.leader_hint());
+    if (p) {
+        wire::peer_message m;
+        m.texts["kind"] = "progress";
+        auto r = co_await p->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s, true);
+        try {
+            if (r.ok()) {
+                auto a = wire::parse_peer(r.body);
+                if (a.number(":leading")) {
+                    progress_.clear();
+                    for (auto &[id, v] : a.numbers)
+                        progress_[id] = {static_cast<std::uint32_t>(v >> 32),
+                                         static_cast<std::uint32_t>(v & 0xffffffff)};
+                }
+            }
+        } catch (const wire::bad_message &e) {
+            spdlog::warn("progress: {}", e.what());
+        }
+    }
+    progress_at_ = now_s();
+    progress_busy_ = false;
+}
+
+awaitable<void> controller::load_types() {
+    while (!stopping_ && !types_) {
+        auto i = co_await state_.get(types_key, store::urgency::accept);
+        if (i && i->found) {
+            try {
+                auto t = wire::parse_types(i->kv.value);
+                if (!types_)
+                    types_ = std::move(t);
+            } catch (const wire::bad_message &e) {
+                spdlog::error("machine types: {}", e.what());
+            }
+        }
+        if (!types_)
+            co_await net::sleep_s(0.5);
+    }
+}
+
+// --- leading ---
+
+bool controller::in_charge(const std::shared_ptr<leadership> &l) const {
+    return !l->over && l == lead_ && member_.leading();
+}
+
+void controller::elected() {
+    deposed();
+    auto l = std::make_shared<leadership>(io_, state_, settings_);
+    lead_ = l;
+    l->commits.fence = [this, l = std::weak_ptr<leadership>(l)]() -> std::optional<txn_condition> {
+        auto k = l.lock();
+        if (!k || !in_charge(k))
+            return std::nullopt;
+        return txn_condition{leader_key, member_.token()};
+    };
+    l->commits.on_lost_fence = [this] {
+        // The token may have been raised while the transaction was under way; the key decides.
+        spdlog::debug("a fenced transaction failed");
+    };
+    net::spawn(io_, take_over(l), "take over");
+}
+
+void controller::deposed() {
+    if (!lead_)
+        return;
+    lead_->over = true;
+    lead_->commits.stop();
+    lead_->wake.notify();
+    lead_.reset();
+}
+
+awaitable<void> controller::take_over(std::shared_ptr<leadership> l) {
+    auto keep_trying = [&] { return in_charge(l); };
+    double began = now_s();
+    // The machine types: from the records, or from the cloud the first time.
+    std::vector<machine_type> types;
+    std::uint64_t types_version = 0;
+    while (keep_trying() && types.empty()) {
+        auto i = co_await state_.get(types_key, store::urgency::leadership);
+        if (i && i->found) {
+            types = wire::parse_types(i->kv.value);
+            types_version = i->kv.version;
+        } else if (i) {
+            auto r = co_await cloud_call("GET", wire::path_types, "");
+            if (r.ok()) {
+                try {
+                    types = wire::parse_types(r.body);
+                } catch (const wire::bad_message &e) {
+                    spdlog::error("machine types: {}", e.what());
+                }
+            }
+        }
+        if (types.empty())
+            co_await net::sleep_s(c::state_retry_s);
+    }
+    std::optional<wire::range_answer> placed, done, rentals;
+    while (keep_trying() && !(placed && done && rentals)) {
+        if (!placed)
+            placed = co_await state_.list(placed_prefix, store::urgency::leadership);
+        if (!done)
+            done = co_await state_.list(done_prefix, store::urgency::leadership);
+        if (!rentals)
+            rentals = co_await state_.list(rental_prefix, store::urgency::leadership);
+        if (!(placed && done && rentals))
+            co_await net::sleep_s(c::state_retry_s);
+    }
+    // The jobs as of now: every change up to this leadership is in the cache after this.
+    while (keep_trying() && !co_await cache_.catch_up(1.0)) {
+    }
+    if (!keep_trying())
+        co_return;
+    auto core = std::make_unique<engine>(settings_, types);
+    double now = now_s();
+    core->begin(now, member_.token(), wall_s() - now);
+    for (auto &[id, j] : cache_.all())
+        core->load_job(id, j.record, j.version, now);
+    auto split = [](const std::string &key, const char *prefix, std::string &job,
+                    std::uint32_t &chunk) {
+        auto rest = key.substr(std::string(prefix).size());
+        auto slash = rest.rfind('/');
+        if (slash == std::string::npos)
+            return false;
+        job = rest.substr(0, slash);
+        chunk = static_cast<std::uint32_t>(std::stoul(rest.substr(slash + 1)));
+        return true;
+    };
+    std::string job;
+    std::uint32_t chunk = 0;
+    for (auto &i : done->items) {
+        l->commits.set_version(i.key, i.version);
+        if (split(i.key, done_prefix, job, chunk))
+            core->load_done(job, chunk, wire::parse_done_bits(i.value));
+    }
+    for (auto &i : placed->items) {
+        l->commits.set_version(i.key, i.version);
+        if (split(i.key, placed_prefix, job, chunk))
+            core->load_placed(job, chunk, wire::parse_placed(i.value), now);
+    }
+    for (auto &i : rentals->items) {
+        l->commits.set_version(i.key, i.version);
+        core->load_rental(wire::parse_rental_record(i.value), now);
+    }
+    core->loaded(now);
+    l->commits.set_version(types_key, types_version);
+    if (types_version == 0) {
+        store::unit u;
+        u.owned = true;
+        u.ops = {{types_key, wire::encode_types(types), 0}};
+        u.rank = store::urgency::accept;
+        l->commits.submit(std::move(u));
+    }
+    if (!types_)
+        types_ = types;
+    l->core = std::move(core);
+    spdlog::info("took over in {:.2f} s: {}", now_s() - began, l->core->summary());
+    // Holds the leadership alive until the last transaction is settled.
+    net::spawn(
+        io_,
+        [](std::shared_ptr<leadership> l) -> awaitable<void> { co_await l->commits.run(); }(l),
+        "commits");
+    net::spawn(io_, watch_cloud(l), "cloud");
+    co_await pump(l);
+}
+
+static store::urgency rank_of(write_kind k) {
+    switch (k) {
+    case write_kind::placed:
+        return store::urgency::placement;
+    case write_kind::job_end:
+    case write_kind::done:
+        return store::urgency::done;
+    case write_kind::rental:
+        return store::urgency::placement;
+    case write_kind::cleanup:
+        return store::urgency::rest;
+    }
+    return store::urgency::rest;
+}
+
+// Drives the engine: time in, decisions out.
+awaitable<void> controller::pump(std::shared_ptr<leadership> l) {
+    double next_summary = now_s() + 10;
+    while (in_charge(l)) {
+        auto &core = *l->core;
+        double now = now_s();
+        core.tick(now);
+        for (auto &w : core.take_writes(now)) {
+            store::unit u;
+            u.owned = true;
+            u.when = w.when;
+            u.ops = w.ops;
+            u.rank = rank_of(w.kind);
+            u.result = [this, l, w](store::unit_outcome how, std::uint64_t revision) {
+                if (how == store::unit_outcome::lost || l->over || !l->core)
+                    return;
+                l->core->on_written(w, how == store::unit_outcome::committed, revision, now_s());
+                l->wake.notify();
+            };
+            l->commits.submit(std::move(u));
+        }
+        for (auto &r : core.take_rentals(now))
+            net::spawn(io_, rent(l, r), "rent");
+        if (auto names = core.take_deletions(now); !names.empty())
+            net::spawn(io_, remove(l, std::move(names)), "delete");
+        for (auto &m : core.take_urgent())
+            net::spawn(io_, command(l, m), "command");
+        if (core.wants_token_raise(now))
+            member_.want_raise();
+        if (now > next_summary) {
+            next_summary = now + 10;
+            spdlog::info("{}; {} writes waiting", core.summary(), l->commits.waiting());
+        }
+        co_await net::sleep_s(0.02);
+        co_await l->wake.wait_for(0.2);
+    }
+    // Entitlement lapsed without a word: leave nothing running on old knowledge.
+    if (lead_ == l && !member_.leading())
+        member_.resign("not entitled any more");
+}
+
+awaitable<net::reply> controller::cloud_call(std::string method, std::string target,
+                                             std::string body) {
+    while (!cloud_budget_.take(1, store::urgency::leadership, now_s()))
+        co_await net::sleep_s(0.05);
+    auto r = co_await cloud_.call(std::move(method), std::move(target), std::move(body),
+                                  c::cloud_timeout_s);
+    if (r.how == net::outcome::answered && r.status == 429)
+        cloud_budget_.drain();
+    co_return r;
+}
+
+awaitable<void> controller::watch_cloud(std::shared_ptr<leadership> l) {
+    double next_types = now_s() + c::types_refresh_s;
+    while (in_charge(l)) {
+        double asked = now_s();
+        std::vector<host> hosts;
+        std::string after;
+        bool whole = false;
+        while (in_charge(l)) {
+            auto r = co_await cloud_call("GET", wire::hosts_target(after, c::host_page), "");
+            if (!r.ok())
+                break;
+            try {
+                auto page = wire::parse_hosts(r.body);
+                hosts.insert(hosts.end(), page.hosts.begin(), page.hosts.end());
+                if (!page.more || page.hosts.empty()) {
+                    whole = true;
+                    break;
+                }
+                after = page.hosts.back().id;
+            } catch (const wire::bad_message &e) {
+                spdlog::warn("machine list: {}", e.what());
+                break;
+            }
+        }
+        if (whole && in_charge(l)) {
+            l->core->on_hosts(hosts, asked, now_s());
+            l->wake.notify();
+        }
+        if (now_s() > next_types) {
+            next_types = now_s() + c::types_refresh_s;
+            auto r = co_await cloud_call("GET", wire::path_types, "");
+            if (r.ok() && in_charge(l)) {
+                try {
+                    auto t = wire::parse_types(r.body);
+                    if (!t.empty())
+                        l->core->on_types(std::move(t));
+                } catch (const wire::bad_message &e) {
+                    spdlog::warn("machine types: {}", e.what());
+                }
+            }
+        }
+        co_await net::sleep_s(c::hosts_poll_s);
+    }
+}
+
+awaitable<void> controller::rent(std::shared_ptr<leadership> l, rental r) {
+    if (!in_charge(l))
+        co_return;
+    auto a = co_await cloud_call("POST", wire::path_hosts, wire::encode_rental(r));
+    if (!in_charge(l))
+        co_return;
+    try {
+        if (a.ok())
+            l->core->on_rented(r.request, wire::parse_rented(a.body), now_s());
+        else if (a.how == net::outcome::answered && a.status == 503 &&
+                 a.body.find("capacity") != std::string::npos)
+            l->core->on_rent_refused(r.request, now_s());
+        else if (a.how == net::outcome::answered && a.status == 400)
+            l->core->on_rent_refused(r.request, now_s());
+        else
+            l->core->on_rent_unsure(r.request, now_s());
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("renting: {}", e.what());
+        l->core->on_rent_unsure(r.request, now_s());
+    }
+    l->wake.notify();
+}
+
+awaitable<void> controller::remove(std::shared_ptr<leadership> l, std::vector<std::string> names) {
+    auto a = co_await cloud_call("POST", wire::path_hosts_delete, wire::encode_delete(names));
+    if (l->over || !l->core)
+        co_return;
+    if (a.ok()) {
+        l->core->on_deleted(names, now_s());
+    } else {
+        co_await net::sleep_s(1.0);
+        if (!l->over && l->core)
+            l->core->on_delete_failed(names);
+    }
+    l->wake.notify();
+}
+
+// Orders sent to the worker at once, without waiting for its report.
+awaitable<void> controller::command(std::shared_ptr<leadership> l, std::string machine) {
+    if (!l->commanding.insert(machine).second)
+        co_return;
+    struct leave {
+        std::set<std::string> &s;
+        const std::string &m;
+        ~leave() { s.erase(m); }
+    } leaving{l->commanding, machine};
+    auto *m = l->core->find_machine(machine);
+    if (!m || m->address.empty() || !in_charge(l))
+        co_return;
+    auto session = m->session;
+    auto address = m->address;
+    auto orders = l->core->orders_in_command(machine, now_s());
+    if (orders.empty())
+        co_return;
+    bool starts = false;
+    for (auto &o : orders)
+        starts = starts || o.kind == order_kind::start;
+    auto token = member_.token();
+    auto &client = l->workers[address];
+    try {
+        if (!client)
+            client = std::make_unique<net::client>(
+                io_, settings::parse_address(address, "address"), 1);
+    } catch (const settings::settings_error &e) {
+        spdlog::warn("{}: {}", machine, e.what());
+        l->workers.erase(address);
+        if (starts)
+            l->core->command_resolved(machine);
+        co_return;
+    }
+    auto a = co_await client->call("POST", wire::path_commands,
+                                   wire::encode_commands(token, session, orders),
+                                   c::worker_timeout_s);
+    if (l->over || !l->core)
+        co_return;
+    bool settled = a.how == net::outcome::not_sent;
+    if (a.how == net::outcome::answered && (a.status == 200 || a.status == 409)) {
+        try {
+            auto report = wire::parse_report(a.body);
+            settled = true;
+            if (starts)
+                l->core->command_resolved(machine);
+            starts = false;
+            if (report.machine == machine)
+                l->core->on_report(report, now_s());
+        } catch (const wire::bad_message &e) {
+            spdlog::warn("{}: {}", machine, e.what());
+        }
+    }
+    if (starts) {
+        if (settled)
+            l->core->command_resolved(machine);
+        else
+            l->core->command_unresolved(machine, token, session);
+    }
+    l->wake.notify();
+}
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/control/controller.hpp
@@ -0,0 +1,69 @@
+// The controller node: wires servers, clients, membership, the jobs' cache and the engine together.
+#pragma once
+#include "catalog/job_cache.hpp"
+#include "control/engine.hpp"
+#include "membership/member.hpp"
+#include "net/http.hpp"
+#include "store/committer.hpp"
+#include <memory>
+
+namespace spindlecroft::control {
+
+class controller {
+  public:
+    controller(net::asio::io_context &io, const settings::settings &s);
+    void start();
+    void stop();
+
+  private:
+    struct leadership; // what exists only while this node leads
+
+    // users and workers
+    net::awaitable<net::response> on_api(net::request r);
+    net::awaitable<net::response> on_submit(std::string body);
+    net::awaitable<net::response> on_poll(std::string id);
+    net::awaitable<net::response> on_cancel(std::string id);
+    net::awaitable<net::response> on_checkin(std::string body);
+    net::response ready() const;
+    // The job's state as of now; nothing: could not be read. Holds nothing: never accepted.
+    net::awaitable<std::optional<std::optional<job_status>>> current(std::string id);
+    net::awaitable<std::optional<store::unit_outcome>> commit(store::unit u, double limit_s);
+    std::string rejection(const job_spec &s) const;
+
+    // other controllers
+    net::awaitable<net::response> on_peer(net::request r);
+    net::awaitable<void> fetch_progress();
+    net::awaitable<void> load_types();
+
+    // leading
+    void elected();
+    void deposed();
+    net::awaitable<void> take_over(std::shared_ptr<leadership> l);
+    net::awaitable<void> pump(std::shared_ptr<leadership> l);
+    net::awaitable<void> watch_cloud(std::shared_ptr<leadership> l);
+    net::awaitable<void> rent(std::shared_ptr<leadership> l, rental r);
+    net::awaitable<void> remove(std::shared_ptr<leadership> l, std::vector<std::string> names);
+    net::awaitable<void> command(std::shared_ptr<leadership> l, std::string machine);
+    net::awaitable<net::reply> cloud_call(std::string method, std::string target,
+                                          std::string body);
+    bool in_charge(const std::shared_ptr<leadership> &l) const;
+
+    net::asio::io_context &io_;
+    settings::settings settings_;
+    store::state_client state_;
+    membership::member member_;
+    catalog::job_cache cache_;
+    store::committer user_commits_;
+    net::client cloud_;
+    store::budget cloud_budget_;
+    std::optional<std::vector<machine_type>> types_;
+    std::shared_ptr<leadership> lead_;
+    std::map<std::string, engine::progress> progress_; // as the leader told
+    bool progress_busy_ = false;
+    double progress_at_ = -1e9;
+    bool stopping_ = false;
+    net::server api_;
+    net::server back_;
+};
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/control/engine.cpp
@@ -0,0 +1,1092 @@
+// Taking over, reports, orders and durable records.
+#include "control/engine.hpp"
+#include "constants.hpp"
+#include <algorithm>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace spindlecroft::control {
+
+using catalog::attempt_phase;
+namespace c = constants;
+
+std::string active_key(const std::string &job) { return active_prefix + job; }
+std::string ended_key(const std::string &job) { return ended_prefix + job; }
+std::string placed_key(const std::string &job, std::uint32_t chunk) {
+    return fmt::format("{}{}/{}", placed_prefix, job, chunk);
+}
+std::string done_key(const std::string &job, std::uint32_t chunk) {
+    return fmt::format("{}{}/{}", done_prefix, job, chunk);
+}
+std::string rental_key(const std::string &request) { return rental_prefix + request; }
+
+engine::engine(const settings::settings &s, std::vector<machine_type> types)
+    : settings_(s), types_(std::move(types)), teams_(s.teams) {}
+
+// --- look-ups ---
+
+engine::job_t *engine::job_of(const std::string &id) {
+    auto i = jobs_.find(id);
+    return i == jobs_.end() ? nullptr : &i->second;
+}
+
+const catalog::job *engine::find_job(const std::string &id) const {
+    auto i = jobs_.find(id);
+    return i == jobs_.end() ? nullptr : &i->second;
+}
+
+const workers::machine *engine::find_machine(const std::string &name) const {
+    auto i = machines_.find(name);
+    return i == machines_.end() ? nullptr : &i->second;
+}
+
+engine::machine_t &engine::machine_of(const std::string &name, double now) {
+    auto [i, fresh] = machines_.try_emplace(name);
+    if (fresh) {
+        i->second.name = name;
+        i->second.rented_at = now;
+        i->second.idle_since = now;
+        // Whoever answered it before us, did so before our authority began.
+        i->second.lease_bound = std::max(began_, now) + settings_.lease_s * (1 + c::clock_drift) +
+                                c::lease_slack_s;
+        dirty_ = true;
+    }
+    return i->second;
+}
+
+engine::attempt_t *engine::attempt_of(const catalog::task_ref &t, std::uint64_t number) {
+    auto *j = job_of(t.job);
+    if (!j)
+        return nullptr;
+    auto i = j->live.find(t.index);
+    return i == j->live.end() || i->second.number != number ? nullptr : &i->second;
+}
+
+const machine_type *engine::type_of(const std::string &name) const {
+    for (auto &t : types_)
+        if (t.name == name)
+            return &t;
+    return nullptr;
+}
+
+void engine::set_type(machine_t &m, const std::string &type, const std::string &zone, bool spot,
+                      const std::string &address) {
+    if (auto *t = type_of(type)) {
+        m.type = *t;
+        m.known_type = true;
+    }
+    m.zone = zone;
+    m.spot = spot;
+    if (!address.empty())
+        m.address = address;
+}
+
+// --- taking over ---
+
+void engine::begin(double now, std::uint64_t token, double wall_offset) {
+    began_ = now;
+    wall_offset_ = wall_offset;
+    token_ = first_token_ = token;
+}
+
+void engine::load_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
+                      double now) {
+    job_t j;
+    j.spec = r.spec;
+    j.version = version;
+    j.accepted_at = std::min(now, r.accepted_at - wall_offset_);
+    j.done.assign(r.spec.tasks, false);
+    j.done_durable.assign(r.spec.tasks, false);
+    auto &kept = jobs_[id] = std::move(j);
+    if (kept.spec.shape == job_shape::service && !r.cancelled) {
+        services_seen_[kept.spec.job_class] = kept.spec;
+        services_at_[kept.spec.job_class] = now;
+    }
+    if (r.cancelled)
+        cancel_job(kept, now);
+}
+
+void engine::load_done(const std::string &job, std::uint32_t chunk,
+                       const std::vector<bool> &bits) {
+    auto *j = job_of(job);
+    if (!j) {
+        cleanup_.push_back({write_kind::cleanup, job, chunk, {}, {{done_key(job, chunk), "", 0}},
+                            {}, {}, {}});
+        return;
+    }
+    j->done_keys.insert(chunk);
+    for (std::size_t k = 0; k < bits.size(); ++k) {
+        std::size_t i = chunk * c::chunk_done + k;
+        if (bits[k] && i < j->done.size() && !j->done[i]) {
+            j->done[i] = j->done_durable[i] = true;
+            ++j->done_count;
+            ++j->done_seen;
+        }
+    }
+}
+
+void engine::load_placed(const std::string &job, std::uint32_t chunk,
+                         const std::vector<wire::placed_task> &tasks, double now) {
+    auto *j = job_of(job);
+    if (!j) {
+        cleanup_.push_back({write_kind::cleanup, job, chunk, {},
+                            {{placed_key(job, chunk), "", 0}}, {}, {}, {}});
+        return;
+    }
+    j->placed_keys.insert(chunk);
+    for (auto &t : tasks) {
+        if (t.index >= j->spec.tasks || j->done[t.index])
+            continue;
+        // Guards against a second start: the task may be there, or a start may be under way,
+        // until the machine's own report under our token says otherwise.
+        attempt_t a;
+        a.task = {job, t.index};
+        a.number = t.attempt;
+        a.machine = t.machine;
+        a.phase = attempt_phase::sent;
+        a.inherited = true;
+        a.created_at = now;
+        a.estimate_s = estimates_.expected_s(j->spec);
+        a.stop_wanted = j->cancelled;
+        machine_of(t.machine, now).attempts.insert(a.task);
+        j->live[t.index] = std::move(a);
+    }
+}
+
+void engine::load_rental(const wire::rental_record &r, double now) {
+    double age_s = std::max(0.0, now + wall_offset_ - r.at);
+    auto &s = rentals_[r.what.request];
+    s.record = r;
+    s.asked_at = now - age_s;
+    s.durable = true;
+    s.dirty = false;
+    s.answered = s.names_written = !r.machines.empty();
+    for (auto &name : r.machines) {
+        auto &m = machine_of(name, now);
+        m.rented_at = now - age_s;
+        set_type(m, r.what.type, r.what.zone, r.what.spot, "");
+    }
+}
+
+void engine::loaded(double now) {
+    for (auto &[id, j] : jobs_) {
+        std::uint32_t top = 0;
+        for (std::uint32_t i = 0; i < j.spec.tasks; ++i)
+            if (j.done[i] || j.live.count(i))
+                top = i + 1;
+        j.next_fresh = top;
+        for (std::uint32_t i = 0; i < top; ++i)
+            if (!j.done[i] && !j.live.count(i))
+                j.again.insert(i);
+    }
+    ready_ = true;
+    dirty_ = true;
+    last_raise_ = now;
+    last_fleet_ = now; // reports come first, renting after
+}
+
+// --- jobs ---
+
+void engine::on_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
+                    double now) {
+    dirty_ = true;
+    auto *j = job_of(id);
+    if (!j) {
+        load_job(id, r, version, now);
+        return;
+    }
+    if (version < j->version)
+        return;
+    j->version = version;
+    if (r.cancelled && !j->cancelled)
+        cancel_job(*j, now);
+}
+
+void engine::cancel_job(job_t &j, double now) {
+    j.cancelled = true;
+    j.cancelled_at = now;
+    while (!j.queued.empty())
+        unqueue_task(j, j.queued.begin()->first);
+    std::vector<std::uint32_t> indices;
+    for (auto &[i, a] : j.live)
+        indices.push_back(i);
+    for (auto i : indices) {
+        auto &a = j.live[i];
+        if (a.phase == attempt_phase::committing || a.phase == attempt_phase::committed ||
+            a.phase == attempt_phase::exited)
+            drop_attempt(j, i, false);
+        else
+            stop_attempt(a, 0, now);
+    }
+}
+
+void engine::on_token(std::uint64_t token) {
+    if (token > token_)
+        token_ = token;
+}
+
+void engine::unqueue_task(job_t &j, std::uint32_t index) {
+    auto q = j.queued.find(index);
+    if (q == j.queued.end())
+        return;
+    auto m = machines_.find(q->second);
+    if (m != machines_.end()) {
+        auto &d = m->second.queue;
+        catalog::task_ref ref{j.spec.id, index};
+        d.erase(std::remove_if(d.begin(), d.end(), [&](auto &t) { return t.task == ref; }),
+                d.end());
+    }
+    j.queued.erase(q);
+}
+
+void engine::unqueue(machine_t &m) {
+    for (auto &t : m.queue)
+        if (auto *j = job_of(t.task.job)) {
+            j->queued.erase(t.task.index);
+            j->push_back(t.task.index);
+        }
+    m.queue.clear();
+    dirty_ = true;
+}
+
+void engine::drop_attempt(job_t &j, std::uint32_t index, bool again) {
+    auto i = j.live.find(index);
+    if (i == j.live.end())
+        return;
+    auto m = machines_.find(i->second.machine);
+    if (m != machines_.end())
+        m->second.attempts.erase(i->second.task);
+    j.live.erase(i);
+    if (again)
+        j.push_back(index);
+    dirty_ = true;
+}
+
+void engine::stop_attempt(attempt_t &a, double grace_s, double now) {
+    if (a.stop_wanted && grace_s >= a.grace_s)
+        return;
+    if (!a.stop_wanted)
+        a.stop_since = now;
+    a.stop_wanted = true;
+    a.grace_s = grace_s;
+    urgent_.insert(a.machine);
+}
+
+// --- reports ---
+
+engine::report_age engine::on_report(const worker_report &r, double now) {
+    if (removed_.count(r.machine))
+        return report_age::dead;
+    auto &m = machine_of(r.machine, now);
+    set_type(m, r.type, r.zone, r.spot, r.address);
+    if (m.heard_at >= 0 && !r.newer_than(m.session, m.seq))
+        return r.session == m.session ? report_age::stale : report_age::dead;
+    bool first = !m.up;
+    bool new_session = m.heard_at >= 0 && r.session > m.session;
+    m.session = r.session;
+    m.seq = r.seq;
+    m.token = r.token;
+    m.heard_at = now;
+    if (first) {
+        m.up = true;
+        m.up_at = now;
+        m.idle_since = now;
+        dirty_ = true;
+    }
+    m.strays.clear();
+    std::set<catalog::task_ref> listed;
+    for (auto &t : r.tasks) {
+        listed.insert({t.job, t.index});
+        task_listed(m, t, now);
+    }
+    std::vector<catalog::task_ref> missing;
+    for (auto &ref : m.attempts)
+        if (!listed.count(ref))
+            missing.push_back(ref);
+    for (auto &ref : missing) {
+        auto *j = job_of(ref.job);
+        if (!j || !j->live.count(ref.index)) {
+            m.attempts.erase(ref);
+            continue;
+        }
+        auto &a = j->live[ref.index];
+        // A session that ended took every task with it, and commands of it are refused.
+        if (new_session && a.present())
+            drop_attempt(*j, ref.index, true);
+        else
+            task_missing(m, *j, a, r, now);
+    }
+    if (r.notice_s) {
+        if (m.doomed_at < 0) {
+            m.doomed_at = now + *r.notice_s;
+            unqueue(m);
+            // What can't finish or save in time starts again elsewhere at once.
+            for (auto &ref : m.attempts)
+                if (auto *j = job_of(ref.job))
+                    if (auto i = j->live.find(ref.index); i != j->live.end()) {
+                        auto &a = i->second;
+                        double ran = a.running_since >= 0 ? now - a.running_since : 0;
+                        double left = std::max(0.0, a.estimate_s - ran);
+                        if (a.present() && j->spec.shape == job_shape::array &&
+                            left > *r.notice_s * c::notice_patience)
+                            stop_attempt(a, std::min(*r.notice_s, j->spec.save_s), now);
+                    }
+        }
+    } else if (m.doomed_at >= 0) {
+        m.doomed_at = -1;
+    }
+    if (!m.attempts.empty() || !m.queue.empty())
+        m.idle_since = now;
+    return report_age::fresh;
+}
+
+void engine::task_listed(machine_t &m, const task_report &t, double now) {
+    auto *j = job_of(t.job);
+    catalog::task_ref ref{t.job, t.index};
+    auto *a = attempt_of(ref, t.attempt);
+    if (a && a->machine != m.name)
+        a = nullptr;
+    if (!a) {
+        if (t.state == task_state::exited) {
+            // A completed task is completed, whoever started it.
+            if (t.cause == exit_cause::done && j && !j->over() && t.index < j->spec.tasks &&
+                j->spec.shape == job_shape::array && !j->done[t.index]) {
+                task_done(*j, t.index, now);
+                if (auto i = j->live.find(t.index); i != j->live.end()) {
+                    if (i->second.present())
+                        stop_attempt(i->second, 0, now);
+                    else
+                        drop_attempt(*j, t.index, false);
+                }
+            }
+            // Kept until its being done is durable: losing it would lose the result.
+            if (!(t.cause == exit_cause::done && j && t.index < j->spec.tasks && !j->over() &&
+                  j->done[t.index] && !j->done_durable[t.index]))
+                m.strays.push_back({order_kind::forget, t.job, t.index, t.attempt, 0});
+        } else if (j && t.index < j->spec.tasks && !j->live.count(t.index)) {
+            adopt(m, *j, t, now);
+        } else {
+            m.strays.push_back({order_kind::stop, t.job, t.index, t.attempt, 0});
+        }
+        return;
+    }
+    if (a->phase == attempt_phase::exited)
+        return;
+    a->inherited = false;
+    switch (t.state) {
+    case task_state::fetching:
+        if (a->phase != attempt_phase::fetching)
+            a->fetch_since = now;
+        a->phase = attempt_phase::fetching;
+        break;
+    case task_state::running:
+        if (a->phase != attempt_phase::running) {
+            a->running_since = now;
+            dirty_ = true;
+        }
+        a->phase = attempt_phase::running;
+        m.use_image(j->spec.image, j->spec.image_gb, now);
+        break;
+    case task_state::saving:
+        a->phase = attempt_phase::saving;
+        break;
+    case task_state::exited:
+        task_exited(m, *j, *a, t, now);
+        break;
+    }
+}
+
+// A task that runs without our knowing must count everywhere until it is stopped.
+void engine::adopt(machine_t &m, job_t &j, const task_report &t, double now) {
+    unqueue_task(j, t.index);
+    j.again.erase(t.index);
+    for (; j.next_fresh <= t.index; ++j.next_fresh)
+        if (j.next_fresh != t.index && !j.done[j.next_fresh] && !j.live.count(j.next_fresh) &&
+            !j.queued.count(j.next_fresh))
+            j.again.insert(j.next_fresh);
+    attempt_t a;
+    a.task = {t.job, t.index};
+    a.number = t.attempt;
+    a.machine = m.name;
+    a.phase = t.state == task_state::running  ? attempt_phase::running
+              : t.state == task_state::saving ? attempt_phase::saving
+                                              : attempt_phase::fetching;
+    a.created_at = a.running_since = now;
+    a.estimate_s = expected_s(j);
+    m.attempts.insert(a.task);
+    auto &kept = j.live[t.index] = std::move(a);
+    stop_attempt(kept, 0, now);
+    spdlog::info("{}: adopted {}/{} attempt {}", m.name, t.job, t.index, t.attempt);
+}
+
+void engine::task_exited(machine_t &m, job_t &j, attempt_t &a, const task_report &t, double now) {
+    dirty_ = true;
+    auto index = a.task.index;
+    auto cause = t.cause;
+    double ran = a.running_since >= 0 ? now - a.running_since : -1;
+    double estimate = a.estimate_s;
+    a.phase = attempt_phase::exited;
+    a.cause = cause;
+    bool forget = true;
+    switch (cause) {
+    case exit_cause::done:
+        m.error_jobs.clear();
+        m.use_image(j.spec.image, j.spec.image_gb, now);
+        if (j.spec.shape == job_shape::array && !j.over()) {
+            if (ran > 0) {
+                double normal = ran * std::max(m.speed, c::speed_floor);
+                // Compared with the job's other tasks, since estimates err a job at a time.
+                if (j.took_count >= 3) {
+                    double mean = j.took_sum / j.took_count;
+                    double sample = std::clamp(mean / ran, 0.1, 3.0);
+                    m.speed = (1 - c::speed_gain) * m.speed + c::speed_gain * sample;
+                    ++m.speed_samples;
+                }
+                j.took_sum += normal;
+                ++j.took_count;
+                estimates_.measured(j.spec.job_class, j.spec.estimate_s, normal);
+            }
+            task_done(j, index, now);
+            forget = false;
+        }
+        // The job is fine, so what failed it elsewhere were the machines.
+        if (!j.failed_on.empty()) {
+            for (auto &name : j.failed_on)
+                if (auto i = machines_.find(name); i != machines_.end() && name != m.name &&
+                                                   i->second.error_jobs.count(j.spec.id)) {
+                    i->second.quarantined = true;
+                    unqueue(i->second);
+                }
+            j.failed_on.clear();
+            j.failures = 0;
+            j.backoff_until = 0;
+        }
+        break;
+    case exit_cause::error:
+        task_failed(m, j, now);
+        break;
+    case exit_cause::no_room:
+    case exit_cause::busy:
+        m.refused_until = now + c::refused_pause_s;
+        unqueue(m);
+        break;
+    case exit_cause::unknown:
+        // Its user may not have uploaded it yet.
+        j.backoff_until = now + c::refused_pause_s;
+        break;
+    case exit_cause::stopped:
+    case exit_cause::none:
+        break;
+    }
+    (void)estimate;
+    if (forget) {
+        drop_attempt(j, index, true);
+        m.strays.push_back({order_kind::forget, t.job, t.index, t.attempt, 0});
+    }
+}
+
+void engine::task_failed(machine_t &m, job_t &j, double now) {
+    m.error_jobs.insert(j.spec.id);
+    j.failed_on.insert(m.name);
+    ++j.failures;
+    bool job_works = j.done_seen > 0;
+    if (!job_works)
+        for (auto &[i, a] : j.live)
+            if (a.phase == attempt_phase::running && a.machine != m.name)
+                job_works = true;
+    if (job_works || m.error_jobs.size() >= static_cast<std::size_t>(c::errors_to_quarantine)) {
+        if (!m.quarantined)
+            spdlog::info("{}: quarantined, tasks fail there", m.name);
+        m.quarantined = true;
+        unqueue(m);
+    }
+    if (j.failed_on.size() >= 2 && !job_works) {
+        // It fails wherever it goes: it waits longer and longer, and harms no one else.
+        double pause = c::job_backoff_s;
+        for (std::size_t k = 2; k < j.failed_on.size() && pause < c::job_backoff_max_s; ++k)
+            pause *= 2;
+        j.backoff_until = now + std::min(pause, c::job_backoff_max_s);
+    }
+}
+
+// The attempt is not in a report newer than all we knew.
+void engine::task_missing(machine_t &m, job_t &j, attempt_t &a, const worker_report &r,
+                          double now) {
+    auto index = a.task.index;
+    switch (a.phase) {
+    case attempt_phase::committing:
+    case attempt_phase::committed:
+        return;
+    case attempt_phase::exited:
+        // Forgotten by the worker (or its session over); the done record is on its way.
+        if (a.cause != exit_cause::done)
+            drop_attempt(j, index, true);
+        return;
+    case attempt_phase::sent:
+        if (m.tainted())
+            return; // a direct command may still arrive
+        if (a.inherited) {
+            // Once the worker has seen our token, no start of an earlier leader can arrive.
+            if (r.token >= first_token_)
+                drop_attempt(j, index, true);
+            return;
+        }
+        // It was in the answer to an older report and is not there: that answer was dropped,
+        // and the worker executes no answer late.
+        if (a.sent_session == r.session && r.seq > a.sent_seq) {
+            if (a.stop_wanted || m.deleting || m.doomed_at >= 0 || m.quarantined)
+                drop_attempt(j, index, true);
+            else
+                a.phase = attempt_phase::committed;
+        }
+        return;
+    case attempt_phase::fetching:
+    case attempt_phase::running:
+    case attempt_phase::saving:
+        if (!m.tainted())
+            drop_attempt(j, index, true);
+        return;
+    }
+    (void)now;
+}
+
+void engine::task_done(job_t &j, std::uint32_t index, double) {
+    if (j.over() || j.done[index])
+        return;
+    unqueue_task(j, index);
+    j.again.erase(index);
+    for (; j.next_fresh <= index; ++j.next_fresh)
+        if (j.next_fresh != index && !j.done[j.next_fresh] && !j.live.count(j.next_fresh) &&
+            !j.queued.count(j.next_fresh))
+            j.again.insert(j.next_fresh);
+    j.done[index] = true;
+    ++j.done_seen;
+    j.done_dirty.insert(static_cast<std::uint32_t>(index / c::chunk_done));
+}
+
+// --- orders ---
+
+std::vector<order> engine::orders(machine_t &m, bool in_answer, double now) {
+    std::vector<order> out;
+    // A start that may still arrive must not follow a reap: it would start the attempt anew.
+    bool forgetting = !m.tainted();
+    if (in_answer || forgetting)
+        for (auto &o : m.strays)
+            if (o.kind != order_kind::forget || forgetting)
+                out.push_back(o);
+    std::vector<order> starts;
+    for (auto &ref : m.attempts) {
+        auto *j = job_of(ref.job);
+        if (!j)
+            continue;
+        auto i = j->live.find(ref.index);
+        if (i == j->live.end())
+            continue;
+        auto &a = i->second;
+        switch (a.phase) {
+        case attempt_phase::committing:
+            break;
+        case attempt_phase::committed:
+        case attempt_phase::sent:
+            if (a.stop_wanted) {
+                if (a.phase == attempt_phase::sent)
+                    out.push_back({order_kind::stop, ref.job, ref.index, a.number, 0});
+                break;
+            }
+            if (a.inherited || m.deleting || m.doomed_at >= 0 || m.quarantined || j->over())
+                break;
+            a.phase = attempt_phase::sent;
+            if (in_answer) {
+                a.sent_session = m.session;
+                a.sent_seq = m.seq;
+            }
+            starts.push_back({order_kind::start, ref.job, ref.index, a.number, 0});
+            break;
+        case attempt_phase::fetching:
+        case attempt_phase::running:
+            if (a.stop_wanted)
+                out.push_back({order_kind::stop, ref.job, ref.index, a.number, a.grace_s});
+            break;
+        case attempt_phase::saving:
+            if (a.stop_wanted && a.grace_s <= 0)
+                out.push_back({order_kind::stop, ref.job, ref.index, a.number, 0});
+            break;
+        case attempt_phase::exited:
+            break;
+        }
+    }
+    out.insert(out.end(), starts.begin(), starts.end());
+    (void)now;
+    return out;
+}
+
+std::vector<order> engine::orders_in_answer(const std::string &machine, double now) {
+    auto i = machines_.find(machine);
+    return i == machines_.end() ? std::vector<order>() : orders(i->second, true, now);
+}
+
+std::vector<order> engine::orders_in_command(const std::string &machine, double now) {
+    auto i = machines_.find(machine);
+    if (i == machines_.end() || !i->second.up || i->second.commands_open > 0)
+        return {};
+    auto &m = i->second;
+    auto out = orders(m, false, now);
+    bool starts = false;
+    for (auto &o : out)
+        if (o.kind == order_kind::start) {
+            starts = true;
+            if (auto *a = attempt_of({o.job, o.index}, o.attempt); a && a->sent_session == 0) {
+                // Nothing about it is known until the command is resolved.
+                a->sent_session = m.session;
+                a->sent_seq = m.seq;
+            }
+        }
+    if (starts)
+        ++m.commands_open;
+    return out;
+}
+
+void engine::command_resolved(const std::string &machine) {
+    if (auto i = machines_.find(machine); i != machines_.end() && i->second.commands_open > 0)
+        --i->second.commands_open;
+}
+
+void engine::command_unresolved(const std::string &machine, std::uint64_t token,
+                                std::uint64_t session) {
+    auto i = machines_.find(machine);
+    if (i == machines_.end())
+        return;
+    if (i->second.commands_open > 0)
+        --i->second.commands_open;
+    i->second.unresolved_token = std::max(i->second.unresolved_token, token);
+    i->second.unresolved_session = std::max(i->second.unresolved_session, session);
+}
+
+bool engine::wants_token_raise(double now) {
+    if (now - last_raise_ < c::token_bump_s)
+        return false;
+    for (auto &[name, m] : machines_)
+        if (m.commands_open == 0 && m.tainted() && m.unresolved_token >= token_) {
+            last_raise_ = now;
+            return true;
+        }
+    return false;
+}
+
+void engine::answered(const std::string &machine, double now) {
+    if (auto i = machines_.find(machine); i != machines_.end())
+        i->second.lease_bound = std::max(i->second.lease_bound,
+                                         now + settings_.lease_s * (1 + c::clock_drift) +
+                                             c::lease_slack_s);
+}
+
+std::vector<std::string> engine::take_urgent() {
+    std::vector<std::string> out;
+    for (auto i = urgent_.begin(); i != urgent_.end();) {
+        auto m = machines_.find(*i);
+        if (m == machines_.end() || !m->second.up) {
+            i = urgent_.erase(i);
+        } else if (m->second.commands_open > 0) {
+            ++i; // after the command that is under way
+        } else {
+            out.push_back(*i);
+            i = urgent_.erase(i);
+        }
+    }
+    return out;
+}
+
+// --- machines that go ---
+
+void engine::clear_machine(machine_t &m, bool gone, double now) {
+    unqueue(m);
+    auto refs = m.attempts;
+    for (auto &ref : refs) {
+        auto *j = job_of(ref.job);
+        if (!j || !j->live.count(ref.index))
+            continue;
+        auto &a = j->live[ref.index];
+        if (a.phase == attempt_phase::exited && a.cause == exit_cause::done)
+            continue; // its being done is a fact that is being written
+        if (gone || a.present())
+            drop_attempt(*j, ref.index, true);
+    }
+    (void)now;
+}
+
+void engine::remove_machine(const std::string &name, double now) {
+    auto i = machines_.find(name);
+    if (i == machines_.end())
+        return;
+    clear_machine(i->second, true, now);
+    machines_.erase(name);
+    removed_[name] = now;
+    urgent_.erase(name);
+    dirty_ = true;
+    for (auto &[request, s] : rentals_)
+        if (s.answered && std::find(s.record.machines.begin(), s.record.machines.end(), name) !=
+                              s.record.machines.end())
+            s.dirty = true;
+}
+
+void engine::want_delete(machine_t &m, const char *why) {
+    if (m.deleting)
+        return;
+    spdlog::info("{} ({} {} {}): to be deleted, {}", m.name, m.type.name, m.zone,
+                 m.spot ? "spot" : "ordinary", why);
+    m.deleting = true;
+    unqueue(m);
+    // What was never sent need not wait for the deletion.
+    auto refs = m.attempts;
+    for (auto &ref : refs)
+        if (auto *j = job_of(ref.job))
+            if (auto i = j->live.find(ref.index);
+                i != j->live.end() && i->second.phase == attempt_phase::committed)
+                drop_attempt(*j, ref.index, true);
+}
+
+std::vector<std::string> engine::take_deletions(double now) {
+    std::vector<std::string> out;
+    for (auto &[name, m] : machines_)
+        if (m.deleting && m.delete_sent_at < 0 &&
+            out.size() < static_cast<std::size_t>(c::deletes_per_request)) {
+            m.delete_sent_at = now;
+            out.push_back(name);
+        }
+    return out;
+}
+
+void engine::on_deleted(const std::vector<std::string> &machines, double now) {
+    for (auto &name : machines)
+        remove_machine(name, now);
+}
+
+void engine::on_delete_failed(const std::vector<std::string> &machines) {
+    for (auto &name : machines)
+        if (auto i = machines_.find(name); i != machines_.end())
+            i->second.delete_sent_at = -1;
+}
+
+void engine::on_types(std::vector<machine_type> types) { types_ = std::move(types); }
+
+void engine::on_hosts(const std::vector<host> &hosts, double asked_at, double now) {
+    std::set<std::string> listed;
+    for (auto &h : hosts) {
+        listed.insert(h.id);
+        if (removed_.count(h.id))
+            continue; // an old list
+        auto &m = machine_of(h.id, now);
+        set_type(m, h.type, h.zone, h.spot, h.address);
+        if (m.listed_at < 0) {
+            m.listed_at = now;
+            if (!m.up)
+                m.rented_at = std::min(m.rented_at, now - h.age_s);
+        }
+        if (h.state == host::stage::failed) {
+            clear_machine(m, true, now);
+            want_delete(m, "failed");
+        }
+    }
+    // A list describes a time at most twice the usual lag ago. A machine that existed before then
+    // and is not listed is gone.
+    double described = asked_at - 2 * settings_.list_lag_s - 1;
+    std::vector<std::string> gone;
+    for (auto &[name, m] : machines_) {
+        double since = m.listed_at >= 0 ? m.listed_at : std::max(m.rented_at, began_);
+        if (m.heard_at >= 0 && m.listed_at < 0)
+            since = std::max(since, m.heard_at);
+        if (!listed.count(name) && since < described)
+            gone.push_back(name);
+    }
+    for (auto &name : gone) {
+        spdlog::info("{}: no longer listed", name);
+        remove_machine(name, now);
+    }
+    // Names are not used again; late words about a machine end after a few lease times.
+    std::erase_if(removed_, [&](auto &r) {
+        return now - r.second > 10 * (settings_.lease_s + settings_.list_lag_s);
+    });
+}
+
+// --- renting ---
+
+std::vector<rental> engine::take_rentals(double now) {
+    std::vector<rental> out;
+    for (auto &[request, s] : rentals_)
+        if (s.durable && !s.asking && !s.answered && s.next_try <= now) {
+            s.asking = true;
+            out.push_back(s.record.what);
+        }
+    return out;
+}
+
+void engine::on_rented(const std::string &request, const std::vector<std::string> &machines,
+                       double now) {
+    auto i = rentals_.find(request);
+    if (i == rentals_.end())
+        return;
+    auto &s = i->second;
+    s.asking = false;
+    s.answered = true;
+    s.record.machines = machines;
+    s.dirty = true;
+    for (auto &name : machines) {
+        if (removed_.count(name))
+            continue;
+        auto &m = machine_of(name, now);
+        set_type(m, s.record.what.type, s.record.what.zone, s.record.what.spot, "");
+        if (!m.up)
+            m.rented_at = std::min(m.rented_at, s.asked_at);
+    }
+    if (static_cast<int>(machines.size()) < s.record.what.count)
+        refused_[fmt::format("{}|{}|{}", s.record.what.type, s.record.what.zone,
+                             s.record.what.spot)] = now + c::refused_capacity_s;
+    dirty_ = true;
+}
+
+void engine::on_rent_refused(const std::string &request, double now) {
+    auto i = rentals_.find(request);
+    if (i == rentals_.end())
+        return;
+    auto &s = i->second;
+    refused_[fmt::format("{}|{}|{}", s.record.what.type, s.record.what.zone, s.record.what.spot)] =
+        now + c::refused_capacity_s;
+    s.asking = false;
+    s.answered = true; // with no machines: its record is dropped
+    s.record.machines.clear();
+    s.dirty = true;
+    last_fleet_ = -1e9; // look for another offer at once
+}
+
+void engine::on_rent_unsure(const std::string &request, double now) {
+    auto i = rentals_.find(request);
+    if (i == rentals_.end())
+        return;
+    i->second.asking = false;
+    i->second.next_try = now + 1.0;
+}
+
+// --- durable records ---
+
+durable_write engine::end_write(job_t &j) {
+    durable_write w;
+    w.kind = write_kind::job_end;
+    w.job = j.spec.id;
+    w.when.push_back({active_key(w.job), j.version});
+    w.ops.push_back({active_key(w.job), "", 0});
+    wire::ended_record e;
+    e.stage = j.cancelled ? job_stage::cancelled : job_stage::done;
+    e.done = j.done_seen;
+    w.ops.push_back({ended_key(w.job), wire::encode_ended(e), 0});
+    // The job's other records go with it, as far as a transaction holds.
+    std::vector<std::string> rest;
+    for (auto k : j.placed_keys)
+        rest.push_back(placed_key(w.job, k));
+    for (auto k : j.done_keys)
+        rest.push_back(done_key(w.job, k));
+    std::size_t room = static_cast<std::size_t>(std::max(2, settings_.txn_ops / 2));
+    for (auto &key : rest) {
+        if (w.ops.size() < room)
+            w.ops.push_back({key, "", 0});
+        else
+            cleanup_.push_back({write_kind::cleanup, w.job, 0, {}, {{key, "", 0}}, {}, {}, {}});
+    }
+    return w;
+}
+
+std::vector<durable_write> engine::take_writes(double now) {
+    std::vector<durable_write> out;
+    if (!ready_)
+        return out;
+    for (auto &[id, j] : jobs_) {
+        if (j.end_writing || j.ended || now < j.write_after)
+            continue;
+        bool complete = !j.cancelled && j.spec.shape == job_shape::array &&
+                        j.done_seen == j.spec.tasks;
+        bool cleared = j.cancelled && j.live.empty();
+        if (complete)
+            for (auto &[i, a] : j.live)
+                if (a.phase != attempt_phase::exited)
+                    complete = false;
+        if (complete || cleared) {
+            if (j.placed_busy.empty() && j.done_busy.empty()) {
+                j.end_writing = true;
+                out.push_back(end_write(j));
+            }
+            continue;
+        }
+        if (j.cancelled)
+            continue;
+        auto placed = j.placed_dirty;
+        for (auto chunk : placed) {
+            if (j.placed_busy.count(chunk))
+                continue;
+            durable_write w;
+            w.kind = write_kind::placed;
+            w.job = id;
+            w.chunk = chunk;
+            std::vector<wire::placed_task> entries;
+            for (auto i = j.live.lower_bound(static_cast<std::uint32_t>(chunk * c::chunk_placed));
+                 i != j.live.end() && i->first < (chunk + 1) * c::chunk_placed; ++i) {
+                entries.push_back({i->first, i->second.number, i->second.machine});
+                if (i->second.phase == attempt_phase::committing)
+                    w.attempts.emplace_back(i->first, i->second.number);
+            }
+            j.placed_dirty.erase(chunk);
+            if (w.attempts.empty())
+                continue;
+            // A cancel changes the job's record, so it wins over a placement made meanwhile.
+            w.when.push_back({active_key(id), j.version});
+            w.ops.push_back({placed_key(id, chunk), wire::encode_placed(entries), 0});
+            j.placed_busy.insert(chunk);
+            j.placed_keys.insert(chunk);
+            out.push_back(std::move(w));
+        }
+        auto done = j.done_dirty;
+        for (auto chunk : done) {
+            if (j.done_busy.count(chunk))
+                continue;
+            durable_write w;
+            w.kind = write_kind::done;
+            w.job = id;
+            w.chunk = chunk;
+            std::vector<bool> bits;
+            for (std::size_t i = chunk * c::chunk_done;
+                 i < std::min<std::size_t>(j.spec.tasks, (chunk + 1) * c::chunk_done); ++i) {
+                bits.push_back(j.done[i]);
+                if (j.done[i] && !j.done_durable[i])
+                    w.done.push_back(static_cast<std::uint32_t>(i));
+            }
+            j.done_dirty.erase(chunk);
+            w.ops.push_back({done_key(id, chunk), wire::encode_done_bits(bits), 0});
+            j.done_busy.insert(chunk);
+            j.done_keys.insert(chunk);
+            out.push_back(std::move(w));
+        }
+    }
+    for (auto &[request, s] : rentals_) {
+        if (!s.dirty || s.busy)
+            continue;
+        bool all_gone = s.answered;
+        if (s.answered)
+            for (auto &name : s.record.machines)
+                if (machines_.count(name))
+                    all_gone = false;
+        if (s.names_written && !all_gone) {
+            s.dirty = false;
+            continue;
+        }
+        s.names_written = s.answered;
+        durable_write w;
+        w.kind = write_kind::rental;
+        w.rental = request;
+        w.ops.push_back(
+            {rental_key(request), all_gone ? "" : wire::encode_rental_record(s.record), 0});
+        s.dirty = false;
+        s.busy = true;
+        out.push_back(std::move(w));
+    }
+    for (auto &w : cleanup_)
+        out.push_back(std::move(w));
+    cleanup_.clear();
+    return out;
+}
+
+void engine::on_written(const durable_write &w, bool ok, std::uint64_t, double now) {
+    dirty_ = true;
+    if (w.kind == write_kind::rental) {
+        auto i = rentals_.find(w.rental);
+        if (i == rentals_.end())
+            return;
+        auto &s = i->second;
+        s.busy = false;
+        if (!ok) {
+            s.dirty = true;
+            s.names_written = false;
+        } else if (w.ops.front().value.empty())
+            rentals_.erase(i);
+        else
+            s.durable = true;
+        return;
+    }
+    auto *j = job_of(w.job);
+    if (!j)
+        return;
+    switch (w.kind) {
+    case write_kind::placed:
+        j->placed_busy.erase(w.chunk);
+        for (auto &[index, number] : w.attempts) {
+            auto *a = attempt_of({w.job, index}, number);
+            if (!a || a->phase != attempt_phase::committing)
+                continue;
+            auto m = machines_.find(a->machine);
+            if (!ok || j->over() || m == machines_.end() || !m->second.usable()) {
+                drop_attempt(*j, index, true);
+                continue;
+            }
+            a->phase = attempt_phase::committed;
+            urgent_.insert(a->machine);
+        }
+        if (!ok)
+            j->write_after = now + c::state_retry_s;
+        break;
+    case write_kind::done:
+        j->done_busy.erase(w.chunk);
+        if (!ok) {
+            j->done_dirty.insert(w.chunk);
+            j->write_after = now + c::state_retry_s;
+            break;
+        }
+        for (auto index : w.done) {
+            if (!j->done_durable[index]) {
+                j->done_durable[index] = true;
+                ++j->done_count;
+            }
+            if (auto i = j->live.find(index);
+                i != j->live.end() && i->second.phase == attempt_phase::exited)
+                drop_attempt(*j, index, false);
+        }
+        break;
+    case write_kind::job_end:
+        if (!ok) {
+            // A cancel came first; the watch will tell.
+            j->end_writing = false;
+            j->write_after = now + c::state_retry_s;
+            break;
+        }
+        while (!j->live.empty())
+            drop_attempt(*j, j->live.begin()->first, false);
+        jobs_.erase(w.job);
+        break;
+    case write_kind::cleanup:
+    case write_kind::rental:
+        break;
+    }
+}
+
+// --- views ---
+
+std::optional<engine::progress> engine::job_progress(const std::string &id) const {
+    auto *j = find_job(id);
+    if (!j)
+        return {};
+    return progress{j->done_count, j->running()};
+}
+
+std::string engine::summary() const {
+    std::size_t up = 0, booting = 0, spot = 0, queued = 0, attempts = 0, waiting = 0;
+    for (auto &[n, m] : machines_) {
+        m.up ? ++up : ++booting;
+        if (m.spot)
+            ++spot;
+        queued += m.queue.size();
+        attempts += m.attempts.size();
+    }
+    for (auto &[n, j] : jobs_)
+        waiting += j.waiting();
+    return fmt::format("machines {} up {} booting ({} spot), jobs {}, tasks {} placed {} queued "
+                       "{} waiting",
+                       up, booting, spot, jobs_.size(), attempts, queued, waiting);
+}
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/control/engine.hpp
@@ -0,0 +1,208 @@
+// The deciding part of a controller: events and time in, decisions out. It does no input or output,
+// so that traces can replay it.
+#pragma once
+#include "bidding/bid.hpp"
+#include "catalog/job.hpp"
+#include "fairness/team_queues.hpp"
+#include "settings/settings.hpp"
+#include "wire/codec.hpp"
+#include "workers/machine.hpp"
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spindlecroft::control {
+
+// Keys in the state service.
+std::string active_key(const std::string &job);
+std::string ended_key(const std::string &job);
+std::string placed_key(const std::string &job, std::uint32_t chunk);
+std::string done_key(const std::string &job, std::uint32_t chunk);
+std::string rental_key(const std::string &request);
+inline constexpr const char *active_prefix = "j/a/";
+inline constexpr const char *ended_prefix = "j/e/";
+inline constexpr const char *jobs_prefix = "j/";
+inline constexpr const char *placed_prefix = "p/";
+inline constexpr const char *done_prefix = "d/";
+inline constexpr const char *rental_prefix = "m/";
+inline constexpr const char *types_key = "c/types";
+inline constexpr const char *leader_key = "leader";
+
+enum class write_kind { placed, done, job_end, cleanup, rental };
+
+// A change that must be durable before its consequence.
+struct durable_write {
+    write_kind kind = write_kind::placed;
+    std::string job;
+    std::uint32_t chunk = 0;
+    std::vector<txn_condition> when; // on keys that others write too
+    std::vector<txn_op> ops;         // on keys that only the leader writes, and the job's record
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> attempts; // placed: newly covered
+    std::vector<std::uint32_t> done;                               // done: newly covered
+    std::string rental;                                            // rental: the request's name
+};
+
+struct rental_state {
+    wire::rental_record record;
+    double asked_at = 0;      // s, steady clock; when the intent arose
+    bool durable = false;     // the name is written: the cloud may be asked
+    bool asking = false;      // a request is under way
+    bool answered = false;    // machines are known
+    bool names_written = false;
+    bool dirty = true, busy = false; // its record is to be written, is being written
+    double next_try = 0;      // s
+    int refusals = 0;
+};
+
+class engine {
+  public:
+    engine(const settings::settings &s, std::vector<machine_type> types);
+
+    // --- taking over ---
+    // wall_offset: time of day minus the steady clock, for records that outlive this process.
+    void begin(double now, std::uint64_t token, double wall_offset);
+    void load_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
+                  double now);
+    void load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits);
+    void load_placed(const std::string &job, std::uint32_t chunk,
+                     const std::vector<wire::placed_task> &tasks, double now);
+    void load_rental(const wire::rental_record &r, double now);
+    void loaded(double now);
+
+    // --- events ---
+    void on_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
+                double now);
+    void on_token(std::uint64_t token);
+    // A report, from /checkin or in the answer to a direct command.
+    enum class report_age {
+        fresh,
+        stale, // of the current session, but a newer message came before it
+        dead,  // of an earlier session, or of a machine that is gone
+    };
+    report_age on_report(const worker_report &r, double now);
+    // Orders to give in the answer to the newest report.
+    std::vector<order> orders_in_answer(const std::string &machine, double now);
+    // The answer was given: the worker's lease may now last until then.
+    void answered(const std::string &machine, double now);
+    // Orders for a direct command; marks the machine until the command is resolved.
+    std::vector<order> orders_in_command(const std::string &machine, double now);
+    void command_resolved(const std::string &machine);
+    void command_unresolved(const std::string &machine, std::uint64_t token,
+                            std::uint64_t session);
+    void on_types(std::vector<machine_type> types);
+    // A complete list of machines, asked for at asked_at.
+    void on_hosts(const std::vector<host> &hosts, double asked_at, double now);
+    void on_rented(const std::string &request, const std::vector<std::string> &machines,
+                   double now);
+    void on_rent_refused(const std::string &request, double now);
+    void on_rent_unsure(const std::string &request, double now);
+    void on_deleted(const std::vector<std::string> &machines, double now);
+    void on_delete_failed(const std::vector<std::string> &machines);
+    void on_written(const durable_write &w, bool ok, std::uint64_t revision, double now);
+    void tick(double now);
+
+    // --- decisions ---
+    std::vector<durable_write> take_writes(double now);
+    std::vector<std::string> take_deletions(double now);
+    std::vector<rental> take_rentals(double now);
+    // Machines to which orders should go at once.
+    std::vector<std::string> take_urgent();
+    bool wants_token_raise(double now);
+
+    // --- views ---
+    struct progress {
+        std::uint32_t done = 0, running = 0;
+    };
+    std::optional<progress> job_progress(const std::string &id) const;
+    const workers::machine *find_machine(const std::string &name) const;
+    const catalog::job *find_job(const std::string &id) const;
+    const std::map<std::string, catalog::job> &jobs() const { return jobs_; }
+    const std::map<std::string, workers::machine> &machines() const { return machines_; }
+    const std::vector<machine_type> &types() const { return types_; }
+    std::uint64_t token() const { return token_; }
+    std::string summary() const;
+
+  private:
+    using job_t = catalog::job;
+    using machine_t = workers::machine;
+    using attempt_t = catalog::attempt;
+    struct bidder;
+
+    job_t *job_of(const std::string &id);
+    machine_t &machine_of(const std::string &name, double now);
+    attempt_t *attempt_of(const catalog::task_ref &t, std::uint64_t number);
+    const machine_type *type_of(const std::string &name) const;
+    void set_type(machine_t &m, const std::string &type, const std::string &zone, bool spot,
+                  const std::string &address);
+
+    void task_listed(machine_t &m, const task_report &t, double now);
+    void task_exited(machine_t &m, job_t &j, attempt_t &a, const task_report &t, double now);
+    void task_missing(machine_t &m, job_t &j, attempt_t &a, const worker_report &r, double now);
+    void task_done(job_t &j, std::uint32_t index, double now);
+    void task_failed(machine_t &m, job_t &j, double now);
+    void drop_attempt(job_t &j, std::uint32_t index, bool again);
+    void stop_attempt(attempt_t &a, double grace_s, double now);
+    void cancel_job(job_t &j, double now);
+    void clear_machine(machine_t &m, bool gone, double now);
+    void remove_machine(const std::string &name, double now);
+    void unqueue(machine_t &m);
+    void unqueue_task(job_t &j, std::uint32_t index);
+    void adopt(machine_t &m, job_t &j, const task_report &t, double now);
+    std::vector<order> orders(machine_t &m, bool in_answer, double now);
+    void want_delete(machine_t &m, const char *why);
+
+    void check_leases(double now);
+    void check_cancelled(double now);
+    void check_machines(double now);
+    void plan_bids(double now);
+    void start_queued(machine_t &m, double now);
+    bool bid_once(job_t &j, std::vector<bidder> &bidders, double now);
+    std::vector<bidder> make_bidders(double now);
+    void refresh_bidder(bidder &b, double now);
+    void rebid(double now);
+    void plan_fleet(double now);
+    struct rental_offer;
+    std::optional<rental_offer> cheapest_offer(const job_spec &s, bool spot,
+                                               const std::set<std::string> *zones,
+                                               double now) const;
+    void rent(const rental_offer &o, int count, double now);
+    void fleet_for_services(std::vector<bidder> &fleet, double now);
+    void fleet_for_arrays(std::vector<bidder> &fleet, double now);
+    void return_idle(double now);
+    void count_usage();
+    bool type_allowed(const job_spec &s, const std::string &type) const;
+    bool rules_allow(const job_t &j, const machine_t &m) const;
+    double expected_s(const job_t &j) const;
+    void end_if_complete(job_t &j);
+    durable_write end_write(job_t &j);
+
+    settings::settings settings_;
+    std::vector<machine_type> types_;
+    fairness::team_queues teams_;
+    bidding::estimates estimates_;
+    std::map<std::string, job_t> jobs_;
+    std::map<std::string, machine_t> machines_;
+    std::map<std::string, rental_state> rentals_;
+    std::map<std::string, double> removed_; // machines that are gone, with the time
+    std::map<std::string, double> refused_; // offers without capacity, until when
+    std::vector<durable_write> cleanup_;
+    std::set<std::string> urgent_;
+    std::map<std::string, job_spec> services_seen_; // largest recent replica of each class
+    std::map<std::string, double> services_at_;
+
+    std::uint64_t token_ = 0, first_token_ = 0;
+    std::uint64_t counter_ = 0;
+    std::uint64_t rental_counter_ = 0;
+    double began_ = 0, wall_offset_ = 0;
+    bool ready_ = false;
+    bool dirty_ = true;
+    double last_plan_ = -1e9, last_fleet_ = -1e9, last_rebid_ = -1e9, last_raise_ = -1e9;
+    std::set<std::string> spare_; // machines kept as warm room
+};
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/control/engine_fleet.cpp
@@ -0,0 +1,244 @@
+// Which machines to rent and which to give back.
+#include "constants.hpp"
+#include "control/bidder.hpp"
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace spindlecroft::control {
+
+using catalog::attempt_phase;
+namespace c = constants;
+
+// The cheapest place for such a task that was not refused of late.
+std::optional<engine::rental_offer> engine::cheapest_offer(const job_spec &s, bool spot,
+                                                           const std::set<std::string> *zones,
+                                                           double now) const {
+    std::optional<rental_offer> best;
+    for (auto &t : types_) {
+        if (!type_allowed(s, t.name))
+            continue;
+        int slots = bidding::room{t.cpus, t.gpus, t.memory_gb}.slots(s);
+        if (slots < 1)
+            continue;
+        double price = spot && t.spot_price > 0 ? t.spot_price : t.price;
+        for (auto &z : t.zones) {
+            if ((s.zone && *s.zone != z) || (zones && !zones->count(z)))
+                continue;
+            auto refused = refused_.find(fmt::format("{}|{}|{}", t.name, z, spot));
+            if (refused != refused_.end() && refused->second > now)
+                continue;
+            double per_slot = price / slots;
+            if (!best || per_slot < best->price_per_slot * 0.999)
+                best = rental_offer{t, z, spot, slots, per_slot};
+        }
+    }
+    return best;
+}
+
+void engine::rent(const rental_offer &o, int count, double now) {
+    // Wishes of one round for the same kind of machine share a request.
+    for (auto &[request, r] : rentals_)
+        if (r.asked_at == now && !r.busy && !r.durable && r.record.what.type == o.type.name &&
+            r.record.what.zone == o.zone && r.record.what.spot == o.spot &&
+            r.record.what.count + count <= c::hosts_per_request) {
+            r.record.what.count += count;
+            return;
+        }
+    rental_state s;
+    s.record.what.request = fmt::format("r-{}-{}", first_token_, ++rental_counter_);
+    s.record.what.type = o.type.name;
+    s.record.what.zone = o.zone;
+    s.record.what.spot = o.spot;
+    s.record.what.count = count;
+    s.record.at = now + wall_offset_;
+    s.asked_at = now;
+    spdlog::info("renting {} {} in {} ({})", count, o.type.name, o.zone,
+                 o.spot ? "spot" : "ordinary");
+    rentals_[s.record.what.request] = std::move(s);
+}
+
+void engine::fleet_for_services(std::vector<bidder> &fleet, double now) {
+    struct want {
+        bidder b;
+        int count;
+    };
+    auto fits_on = [&](bidder &b, const job_spec &s) {
+        return (!b.spot || s.spot) && type_allowed(s, b.type.name) &&
+               (!s.zone || *s.zone == b.zone) && b.critical.fits(s);
+    };
+    auto rent_for = [&](const job_spec &s, const std::set<std::string> *zones) {
+        auto offer = cheapest_offer(s, false, zones, now);
+        if (!offer)
+            return false;
+        rent(*offer, 1, now);
+        bidder b;
+        b.type = offer->type;
+        b.zone = offer->zone;
+        b.free = b.critical = b.whole = {offer->type.cpus, offer->type.gpus,
+                                         offer->type.memory_gb};
+        b.hold(s, 0);
+        fleet.push_back(std::move(b));
+        return true;
+    };
+    // Replicas that nobody could take.
+    for (auto &[id, j] : jobs_) {
+        if (j.spec.shape != job_shape::service || j.waiting() == 0 || now < j.backoff_until)
+            continue;
+        std::map<std::string, std::uint32_t> zone_count;
+        auto note = [&](const std::string &name) {
+            if (auto i = machines_.find(name); i != machines_.end())
+                ++zone_count[i->second.zone];
+        };
+        for (auto &[i, a] : j.live)
+            note(a.machine);
+        for (auto &[i, name] : j.queued)
+            note(name);
+        for (std::uint32_t k = 0; k < j.waiting(); ++k) {
+            bool done = false;
+            for (auto &b : fleet) {
+                if (j.spec.spread && zone_count[b.zone] >= j.zone_cap())
+                    continue;
+                if (fits_on(b, j.spec)) {
+                    b.hold(j.spec, 0);
+                    ++zone_count[b.zone];
+                    done = true;
+                    break;
+                }
+            }
+            if (done)
+                continue;
+            std::set<std::string> zones;
+            for (auto &t : types_)
+                for (auto &z : t.zones)
+                    if (!j.spec.spread || zone_count[z] < j.zone_cap())
+                        zones.insert(z);
+            if (!rent_for(j.spec, &zones))
+                break;
+            ++zone_count[fleet.back().zone];
+        }
+    }
+    // Warm room, so that a new replica of a class seen lately starts at once.
+    spare_.clear();
+    for (auto &[cls, s] : services_seen_) {
+        if (now - services_at_[cls] > 900)
+            continue;
+        std::map<std::string, int> per_zone;
+        for (int k = 0; k < settings_.ops.spare_replicas; ++k) {
+            // One after another in different zones where the class is spread.
+            bidder *best = nullptr;
+            for (auto &b : fleet)
+                if (fits_on(b, s) && (!best || (s.spread && per_zone[b.zone] < per_zone[best->zone])))
+                    best = &b;
+            if (best) {
+                best->hold(s, 0);
+                ++per_zone[best->zone];
+                if (best->m)
+                    spare_.insert(best->m->name);
+                continue;
+            }
+            if (!rent_for(s, nullptr))
+                break;
+        }
+    }
+}
+
+void engine::fleet_for_arrays(std::vector<bidder> &fleet, double now) {
+    // Work that comes and goes: what runs, and what its team's limit lets run.
+    double work_s = 0, longest = 0;
+    const job_spec *typical = nullptr;
+    std::map<std::string, double> tasks;
+    double total_tasks = 0;
+    for (auto &[id, j] : jobs_) {
+        if (j.spec.shape != job_shape::array || j.over() || now < j.backoff_until)
+            continue;
+        double n = j.waiting() + static_cast<double>(j.queued.size());
+        double expected = expected_s(j);
+        double w = n * expected;
+        for (auto &[i, a] : j.live)
+            if (a.holds_room()) {
+                double ran = a.running_since >= 0 ? now - a.running_since : 0;
+                w += std::max(0.2 * a.estimate_s, a.estimate_s - ran);
+                ++n;
+            }
+        if (n == 0)
+            continue;
+        auto *team = teams_.find(j.spec.team);
+        double cap = team && team->cpus_max > 0 && j.spec.cpus > 0
+                         ? std::floor(team->cpus_max / j.spec.cpus)
+                         : 1e9;
+        double before = tasks[j.spec.team];
+        double allowed = std::max(0.0, std::min(n, cap - before));
+        tasks[j.spec.team] += n;
+        work_s += w * allowed / n;
+        total_tasks += allowed;
+        if (w > longest) {
+            longest = w;
+            typical = &j.spec;
+        }
+    }
+    if (!typical || total_tasks == 0)
+        return;
+    double average = work_s / total_tasks;
+    double need = std::min(total_tasks,
+                           std::ceil(work_s / (settings_.ops.drain_target_s + average)));
+    double have = 0;
+    for (auto &b : fleet)
+        if (type_allowed(*typical, b.type.name) && (!b.spot || typical->spot))
+            have += b.whole.slots(*typical);
+    while (have < need) {
+        std::optional<rental_offer> offer;
+        if (typical->spot && settings_.ops.spot)
+            offer = cheapest_offer(*typical, true, nullptr, now);
+        if (!offer)
+            offer = cheapest_offer(*typical, false, nullptr, now);
+        if (!offer)
+            return;
+        rent(*offer, 1, now);
+        bidder b;
+        b.type = offer->type;
+        b.zone = offer->zone;
+        b.spot = offer->spot;
+        b.free = b.critical = b.whole = {offer->type.cpus, offer->type.gpus,
+                                         offer->type.memory_gb};
+        have += offer->slots;
+        fleet.push_back(std::move(b));
+    }
+}
+
+void engine::return_idle(double now) {
+    for (auto &[name, m] : machines_) {
+        if (!m.up || m.deleting || !m.attempts.empty() || !m.queue.empty() || spare_.count(name))
+            continue;
+        double keep = std::max(c::idle_least_s, c::idle_boots * m.type.boot_s);
+        if (now - m.idle_since > keep)
+            want_delete(m, "idle");
+    }
+}
+
+void engine::plan_fleet(double now) {
+    auto fleet = make_bidders(now);
+    for (auto &[request, s] : rentals_) {
+        if (s.answered)
+            continue;
+        auto *t = type_of(s.record.what.type);
+        if (!t)
+            continue;
+        for (int k = 0; k < s.record.what.count; ++k) {
+            bidder b;
+            b.type = *t;
+            b.zone = s.record.what.zone;
+            b.spot = s.record.what.spot;
+            b.free = b.critical = b.whole = {t->cpus, t->gpus, t->memory_gb};
+            fleet.push_back(std::move(b));
+        }
+    }
+    if (static_cast<int>(fleet.size()) < settings_.ops.fleet_limit) {
+        fleet_for_services(fleet, now);
+        fleet_for_arrays(fleet, now);
+    }
+    return_idle(now);
+}
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/control/engine_plan.cpp
@@ -0,0 +1,395 @@
+// Bids, worker queues and starts.
+#include "constants.hpp"
+#include "control/bidder.hpp"
+#include <algorithm>
+#include <spdlog/spdlog.h>
+
+namespace spindlecroft::control {
+
+using catalog::attempt_phase;
+namespace c = constants;
+
+void engine::bidder::hold(const job_spec &s, double remaining_s) {
+    free.take(s);
+    if (s.shape == job_shape::service) {
+        whole.take(s);
+        ++replicas[s.job_class];
+    } else {
+        work_s += remaining_s;
+    }
+    if (s.rank == priority::critical)
+        critical.take(s);
+}
+
+bool engine::type_allowed(const job_spec &s, const std::string &type) const {
+    return !s.types || std::find(s.types->begin(), s.types->end(), type) != s.types->end();
+}
+
+// The owner's estimate, corrected by what was measured of the class and of this very job.
+double engine::expected_s(const job_t &j) const {
+    double prior = estimates_.expected_s(j.spec);
+    return (prior + j.took_sum) / (1 + j.took_count);
+}
+
+// The job's zone rules, given its other tasks: those presumed anywhere and those queued.
+bool engine::rules_allow(const job_t &j, const machine_t &m) const {
+    auto &s = j.spec;
+    if (!type_allowed(s, m.type.name) || (s.zone && *s.zone != m.zone) || (m.spot && !s.spot))
+        return false;
+    if (!s.spread && !s.one_zone)
+        return true;
+    std::uint32_t here = 0;
+    bool elsewhere = false;
+    auto count = [&](const std::string &name) {
+        auto i = machines_.find(name);
+        if (i == machines_.end() || i->second.zone.empty()) {
+            // Somewhere unknown: it counts against every zone.
+            ++here;
+            elsewhere = true;
+        } else if (i->second.zone == m.zone)
+            ++here;
+        else
+            elsewhere = true;
+    };
+    for (auto &[i, a] : j.live)
+        if (a.phase != attempt_phase::exited)
+            count(a.machine);
+    for (auto &[i, name] : j.queued)
+        count(name);
+    if (s.one_zone && elsewhere)
+        return false;
+    return !s.spread || here < j.zone_cap();
+}
+
+void engine::count_usage() {
+    teams_.clear_usage();
+    for (auto &[id, j] : jobs_) {
+        for (auto &[i, a] : j.live)
+            if (a.holds_room())
+                teams_.add(j.spec.team, j.spec);
+        for (std::size_t k = 0; k < j.queued.size(); ++k)
+            teams_.add(j.spec.team, j.spec);
+    }
+}
+
+void engine::refresh_bidder(bidder &b, double now) {
+    auto &m = *b.m;
+    b.free = b.critical = b.whole = {m.type.cpus, m.type.gpus, m.type.memory_gb};
+    for (auto &ref : m.attempts) {
+        auto *j = job_of(ref.job);
+        if (!j || !j->live.count(ref.index))
+            continue;
+        auto &a = j->live[ref.index];
+        if (!a.holds_room())
+            continue;
+        double ran = a.running_since >= 0 ? now - a.running_since : 0;
+        // Past its estimate: as much again as a fifth of it, rather than nothing.
+        double left = std::max(a.estimate_s - ran, 0.2 * a.estimate_s);
+        b.hold(j->spec, left);
+        if (a.phase != attempt_phase::running && a.phase != attempt_phase::saving &&
+            !m.images.count(j->spec.image)) {
+            b.coming.insert(j->spec.image);
+        }
+    }
+    for (auto &t : m.queue)
+        if (auto *j = job_of(t.task.job)) {
+            b.hold(j->spec, t.estimate_s);
+            if (!m.images.count(j->spec.image))
+                b.coming.insert(j->spec.image);
+        }
+    b.fetches = static_cast<int>(b.coming.size());
+}
+
+std::vector<engine::bidder> engine::make_bidders(double now) {
+    std::vector<bidder> out;
+    for (auto &[name, m] : machines_) {
+        if (!m.usable())
+            continue;
+        if (m.speed_samples >= c::slow_samples && m.speed < c::slow_machine)
+            continue;
+        bidder b;
+        b.m = &m;
+        b.type = m.type;
+        b.name = name;
+        b.zone = m.zone;
+        b.spot = m.spot;
+        if (!m.up) {
+            double age = now - m.rented_at;
+            if (age > c::boot_hedge * m.type.boot_s)
+                continue; // late: nothing is promised in its name
+            b.boot_s = std::max(1.0, m.type.boot_s * 1.1 - age);
+        }
+        refresh_bidder(b, now);
+        out.push_back(std::move(b));
+    }
+    return out;
+}
+
+bool engine::bid_once(job_t &j, std::vector<bidder> &bidders, double now) {
+    auto &s = j.spec;
+    double expected = expected_s(j);
+    bidder *best = nullptr;
+    double best_finish = 0;
+    bool critical = s.rank == priority::critical;
+    for (auto &b : bidders) {
+        if (!b.m || now < b.m->refused_until)
+            continue;
+        if (j.failed_on.count(b.name) && j.failed_on.size() < bidders.size())
+            continue;
+        if (!rules_allow(j, *b.m))
+            continue;
+        bool preempting = false;
+        if (s.shape == job_shape::service || critical) {
+            // A service leaves only with its user: nobody queues behind it.
+            auto &room = critical ? b.critical : b.whole;
+            if (!room.fits(s))
+                continue;
+            preempting = !b.free.fits(s);
+        } else if (b.whole.slots(s) < 1) {
+            continue;
+        }
+        auto offer = bidding::make_bid(*b.m, s, b.free, b.whole, preempting ? 0 : b.work_s,
+                                       b.boot_s, expected, b.coming.count(s.image) > 0, b.fetches);
+        if (offer.queued_s > c::queue_limit_s)
+            continue;
+        double finish = offer.finish_s();
+        if (preempting)
+            finish += c::preempt_cost_s;
+        // Between equals, replicas of a class keep apart, so that one machine's end costs few.
+        if (s.shape == job_shape::service)
+            if (auto r = b.replicas.find(s.job_class); r != b.replicas.end())
+                finish += 0.05 * r->second;
+        if (!best || finish < best_finish) {
+            best = &b;
+            best_finish = finish;
+        }
+    }
+    if (!best)
+        return false;
+    std::uint32_t index = 0;
+    if (!j.pop_waiting(index))
+        return false;
+    double estimate = expected / std::max(best->m->speed, c::speed_floor);
+    workers::queued_task t{{s.id, index}, s.rank, estimate};
+    auto &q = best->m->queue;
+    // First in, first out among equals; higher rank goes before.
+    auto at = std::find_if(q.begin(), q.end(), [&](auto &x) { return x.rank > s.rank; });
+    q.insert(at, t);
+    j.queued[index] = best->name;
+    best->hold(s, estimate);
+    if (!best->m->images.count(s.image) && best->coming.insert(s.image).second)
+        ++best->fetches;
+    teams_.add(s.team, s);
+    return true;
+}
+
+// A machine stood idle while tasks wait in queues elsewhere: those are bid again.
+void engine::rebid(double now) {
+    if (now - last_rebid_ < c::idle_rebid_s)
+        return;
+    bool waiting = false, idle = false;
+    for (auto &[name, m] : machines_) {
+        if (!m.queue.empty())
+            waiting = true;
+        else if (m.up && m.usable())
+            idle = true;
+    }
+    if (!waiting || !idle)
+        return;
+    last_rebid_ = now;
+    for (auto &[name, m] : machines_)
+        if (!m.queue.empty())
+            unqueue(m);
+}
+
+void engine::plan_bids(double now) {
+    rebid(now);
+    count_usage();
+    auto bidders = make_bidders(now);
+    struct candidate {
+        job_t *job;
+        bool blocked = false;
+    };
+    for (auto rank : {priority::critical, priority::high, priority::normal, priority::low}) {
+        std::map<std::string, std::vector<candidate>> teams;
+        for (auto &[id, j] : jobs_)
+            if (j.spec.rank == rank && j.waiting() > 0 && now >= j.backoff_until)
+                teams[j.spec.team].push_back({&j});
+        for (auto &[name, list] : teams)
+            std::stable_sort(list.begin(), list.end(), [](auto &a, auto &b) {
+                return a.job->accepted_at < b.job->accepted_at;
+            });
+        while (!teams.empty()) {
+            // Turn by shares: first whoever is within its guarantee, then who uses least for it.
+            auto next = teams.end();
+            std::pair<bool, double> key;
+            for (auto i = teams.begin(); i != teams.end(); ++i) {
+                auto &s = i->second.front().job->spec;
+                std::pair<bool, double> k{!teams_.within_guarantee(s),
+                                          teams_.share_used(i->first)};
+                if (next == teams.end() || k < key) {
+                    next = i;
+                    key = k;
+                }
+            }
+            auto &list = next->second;
+            auto &j = *list.front().job;
+            bool placed = teams_.within_limit(j.spec) && bid_once(j, bidders, now);
+            if (!placed || j.waiting() == 0)
+                list.erase(list.begin());
+            if (list.empty())
+                teams.erase(next);
+        }
+    }
+    for (auto &[name, m] : machines_)
+        if (!m.queue.empty())
+            start_queued(m, now);
+}
+
+void engine::start_queued(machine_t &m, double now) {
+    if (!m.up || !m.usable() || now < m.refused_until)
+        return;
+    bidding::room room{m.type.cpus, m.type.gpus, m.type.memory_gb};
+    std::vector<attempt_t *> lower;
+    bool stopping = false;
+    for (auto &ref : m.attempts) {
+        auto *j = job_of(ref.job);
+        if (!j || !j->live.count(ref.index))
+            continue;
+        auto &a = j->live[ref.index];
+        if (!a.holds_room())
+            continue;
+        room.take(j->spec);
+        if (a.stop_wanted)
+            stopping = true;
+        else if (j->spec.rank > priority::critical && a.present())
+            lower.push_back(&a);
+    }
+    while (!m.queue.empty()) {
+        auto t = m.queue.front();
+        auto *j = job_of(t.task.job);
+        if (!j || j->over()) {
+            m.queue.pop_front();
+            continue;
+        }
+        if (!room.fits(j->spec)) {
+            // Work of lower rank makes room for critical work; the last to begin loses least.
+            if (t.rank != priority::critical || stopping)
+                return;
+            std::sort(lower.begin(), lower.end(), [&](auto *a, auto *b) {
+                auto ra = job_of(a->task.job)->spec.rank, rb = job_of(b->task.job)->spec.rank;
+                return ra != rb ? ra > rb : a->created_at > b->created_at;
+            });
+            auto sum = room;
+            std::vector<attempt_t *> victims;
+            for (auto *a : lower) {
+                if (sum.fits(j->spec))
+                    break;
+                sum.give(job_of(a->task.job)->spec);
+                victims.push_back(a);
+            }
+            if (sum.fits(j->spec))
+                for (auto *a : victims)
+                    stop_attempt(*a, 0, now);
+            return;
+        }
+        m.queue.pop_front();
+        j->queued.erase(t.task.index);
+        room.take(j->spec);
+        attempt_t a;
+        a.task = t.task;
+        a.number = (token_ << 20) + ++counter_;
+        a.machine = m.name;
+        a.created_at = now;
+        a.estimate_s = t.estimate_s;
+        m.attempts.insert(a.task);
+        m.idle_since = now;
+        j->live[t.task.index] = std::move(a);
+        j->placed_dirty.insert(static_cast<std::uint32_t>(t.task.index / c::chunk_placed));
+    }
+}
+
+// --- time passes ---
+
+void engine::check_leases(double now) {
+    for (auto &[name, m] : machines_) {
+        if (now <= m.lease_bound || m.attempts.empty())
+            continue;
+        // Unanswered for longer than its lease: the worker has killed and forgotten its tasks,
+        // and refuses commands of that session.
+        auto refs = m.attempts;
+        for (auto &ref : refs)
+            if (auto *j = job_of(ref.job))
+                if (auto i = j->live.find(ref.index); i != j->live.end() && i->second.present())
+                    drop_attempt(*j, ref.index, true);
+    }
+}
+
+void engine::check_cancelled(double now) {
+    for (auto &[id, j] : jobs_) {
+        if (!j.cancelled || j.live.empty())
+            continue;
+        for (auto &[i, a] : j.live) {
+            auto m = machines_.find(a.machine);
+            if (m == machines_.end() || m->second.deleting)
+                continue;
+            if (now - j.cancelled_at > c::cancel_delete_share * settings_.cancel_s)
+                want_delete(m->second, "a cancelled task may still be there");
+            else if (now - m->second.heard_at > settings_.report_s / 2)
+                urgent_.insert(a.machine);
+        }
+    }
+}
+
+void engine::check_machines(double now) {
+    std::size_t up = 0, silent = 0;
+    double limit = c::silent_reports * settings_.report_s + c::silent_margin_s;
+    auto is_silent = [&](const machine_t &m) {
+        return m.up && now - std::max(m.heard_at, began_) > limit;
+    };
+    for (auto &[name, m] : machines_)
+        if (m.up && !m.deleting) {
+            ++up;
+            if (is_silent(m))
+                ++silent;
+        }
+    // Many at once: rather we are cut off than they are dead.
+    bool doubt = up > 3 && silent > c::silent_share * up;
+    for (auto &[name, m] : machines_) {
+        if (m.deleting)
+            continue;
+        double age = now - m.rented_at;
+        if (is_silent(m) &&
+            (!doubt || now - std::max(m.heard_at, began_) > limit + settings_.lease_s)) {
+            want_delete(m, "silent");
+        } else if (!m.up && m.known_type && age > c::boot_late * m.type.boot_s + 5) {
+            want_delete(m, "never came up");
+        } else if (m.doomed_at >= 0 && (now > m.doomed_at || m.attempts.empty())) {
+            want_delete(m, "taken back");
+        } else if (m.quarantined && m.attempts.empty()) {
+            want_delete(m, "quarantined");
+        } else if (m.up && m.speed_samples >= c::slow_samples && m.speed < c::slow_machine &&
+                   m.attempts.empty()) {
+            want_delete(m, "slow");
+        }
+    }
+}
+
+void engine::tick(double now) {
+    if (!ready_)
+        return;
+    check_leases(now);
+    check_cancelled(now);
+    check_machines(now);
+    if ((dirty_ && now - last_plan_ >= c::plan_gap_s) || now - last_plan_ >= 1.0) {
+        dirty_ = false;
+        last_plan_ = now;
+        plan_bids(now);
+    }
+    if (now - last_fleet_ >= c::rent_gap_s) {
+        last_fleet_ = now;
+        plan_fleet(now);
+    }
+}
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/membership/member.cpp
@@ -0,0 +1,369 @@
+#include "membership/member.hpp"
+#include "constants.hpp"
+#include <random>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <fmt/format.h>
+
+namespace spindlecroft::membership {
+
+namespace c = constants;
+using net::awaitable;
+using net::now_s;
+
+static constexpr const char *leader_key = "leader";
+
+member::member(net::asio::io_context &io, const settings::settings &s, store::state_client &state)
+    : io_(io), settings_(s), state_(state),
+      book_(now_s(), s.members.empty()
+                         ? 0
+                         : c::promise_s * (1 + 2 * c::clock_drift) + c::authority_margin_s),
+      authority_(s.node, s.members.size() + 1), random_(std::random_device()()),
+      wake_(io) {
+    incarnation_ = fmt::format("{}#{:08x}", s.node, random_());
+    for (auto &m : s.members) {
+        auto p = std::make_unique<peer_state>();
+        p->name = m.name;
+        p->client = std::make_unique<net::client>(io, m.back, c::pool_idle);
+        peers_.push_back(std::move(p));
+    }
+}
+
+net::client *member::peer(const std::string &name) {
+    for (auto &p : peers_)
+        if (p->name == name)
+            return p->client.get();
+    return nullptr;
+}
+
+bool member::leading() const { return leader_ && authority_.valid(now_s()); }
+
+std::string member::leader_hint() const {
+    if (leading())
+        return settings_.node;
+    if (now_s() - hint_at_ < c::promise_s)
+        return hint_;
+    return key_holder_ == settings_.node ? std::string() : key_holder_;
+}
+
+void member::resign(const char *why) {
+    if (!leader_ || resigned_)
+        return;
+    spdlog::warn("giving up leadership: {}", why);
+    resigned_ = true;
+    wake_.notify();
+}
+
+void member::stop() {
+    stopping_ = true;
+    wake_.notify();
+}
+
+bool member::state_served_elsewhere() const {
+    for (auto &p : peers_)
+        if (p->state_ok && now_s() - p->heard_at < 3)
+            return true;
+    return false;
+}
+
+// --- messages between controllers ---
+
+std::string member::on_message(const std::string &body) {
+    auto m = wire::parse_peer(body);
+    double now = now_s();
+    auto from = m.text("from"), as = m.text("as");
+    auto kind = m.text("kind");
+    wire::peer_message out;
+    if (kind == "release") {
+        book_.release(as);
+    } else if (kind == "promise") {
+        bool granted = book_.grant(as, m.number("ms") / 1000.0, now);
+        out.numbers["granted"] = granted;
+        if (granted && m.text("role") == "leader") {
+            hint_ = from;
+            hint_at_ = now;
+        }
+        if (!granted && m.text("role") == "leader" && !book_.in_blackout(now))
+            spdlog::debug("no promise to {}: given to {}", as, book_.holder(now));
+    }
+    out.numbers["state_ok"] = state_.silence(now) < 2.5;
+    out.numbers["reports_age_ms"] =
+        static_cast<std::uint64_t>(std::min(1e6, (now - last_report_) * 1000));
+    out.texts["holder"] = book_.holder(now);
+    for (auto &p : peers_)
+        if (p->name == from) {
+            p->heard_at = now;
+            if (m.numbers.count("state_ok"))
+                p->state_ok = m.number("state_ok") != 0;
+        }
+    return wire::encode_peer(out);
+}
+
+awaitable<void> member::ask(peer_state &p, double length_s, bool candidate) {
+    if (p.busy)
+        co_return;
+    p.busy = true;
+    auto candidacy = candidacy_;
+    wire::peer_message m;
+    m.texts = {{"kind", "promise"},
+               {"from", settings_.node},
+               {"as", candidacy_},
+               {"role", candidate ? "candidate" : "leader"}};
+    m.numbers["state_ok"] = state_.silence(now_s()) < 2.5;
+    m.numbers["ms"] = static_cast<std::uint64_t>(length_s * 1000);
+    double sent = now_s();
+    auto r = co_await p.client->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s,
+                                     true);
+    p.busy = false;
+    if (!r.ok())
+        co_return;
+    try {
+        auto a = wire::parse_peer(r.body);
+        p.heard_at = now_s();
+        p.state_ok = a.number("state_ok") != 0;
+        p.reports_age = a.number("reports_age_ms", 1000000) / 1000.0;
+        // A promise to an earlier candidacy doesn't count, and none revives a leader that lapsed.
+        if (a.number("granted") && candidacy == candidacy_ &&
+            (candidate || authority_.valid(now_s())))
+            authority_.promised(p.name, sent, length_s);
+        wake_.notify();
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("{}: {}", p.name, e.what());
+    }
+}
+
+awaitable<void> member::release_all() {
+    // Only this candidacy is released: the message may arrive late, when there is a newer one.
+    book_.release(candidacy_);
+    wire::peer_message m;
+    m.texts = {{"kind", "release"}, {"from", settings_.node}, {"as", candidacy_}};
+    auto body = wire::encode_peer(m);
+    for (auto &p : peers_)
+        net::spawn(
+            io_,
+            [](net::client &client, std::string body) -> awaitable<void> {
+                co_await client.call("POST", "/member", std::move(body), c::peer_timeout_s, true);
+            }(*p->client, body),
+            "release");
+    co_return;
+}
+
+// --- duties ---
+
+awaitable<void> member::run() {
+    while (!stopping_) {
+        co_await follow();
+        if (stopping_)
+            co_return;
+        co_await stand();
+        if (leader_)
+            co_await lead();
+    }
+}
+
+// Returns when the leader key is free and this controller may stand.
+awaitable<void> member::follow() {
+    std::optional<std::uint64_t> since;
+    while (!stopping_) {
+        double now = now_s();
+        if (!since) {
+            auto i = co_await state_.get(leader_key, store::urgency::leadership);
+            if (!i) {
+                co_await wake_.wait_for(c::state_retry_s);
+                continue;
+            }
+            if (!i->found) {
+                key_holder_.clear();
+                now = now_s();
+                if (now < no_stand_until_ || book_.in_blackout(now)) {
+                    co_await wake_.wait_for(0.2);
+                    continue;
+                }
+                // Spread those who saw the same end; whoever promised to another waits longer.
+                boost::random::uniform_real_distribution<double> jitter(0, c::candidacy_jitter_s);
+                auto holder = book_.holder(now);
+                co_await net::sleep_s(holder.empty() || holder == candidacy_
+                                          ? jitter(random_)
+                                          : 0.2 + jitter(random_));
+                co_return;
+            }
+            try {
+                key_holder_ = wire::parse_leader(i->kv.value).node;
+            } catch (const wire::bad_message &) {
+                key_holder_.clear();
+            }
+            since = i->kv.version;
+        }
+        bool gone = false;
+        auto w = co_await state_.watch(leader_key, *since, c::watch_hold_ms,
+                                       store::urgency::leadership, gone);
+        if (!w || !w->items.empty())
+            since.reset();
+        else
+            since = std::max(*since, w->revision);
+        if (!w)
+            co_await wake_.wait_for(c::state_retry_s);
+    }
+}
+
+awaitable<void> member::stand() {
+    authority_.clear();
+    candidacy_ = fmt::format("{}#{}", incarnation_, ++stands_);
+    double now = now_s();
+    if (!book_.grant(candidacy_, c::candidacy_s, now))
+        co_return;
+    authority_.promised(settings_.node, now, c::candidacy_s);
+    for (auto &p : peers_)
+        net::spawn(io_, ask(*p, c::candidacy_s, true), "ask " + p->name);
+    double limit = now + c::peer_timeout_s;
+    while (!authority_.majority(now_s()) && now_s() < limit)
+        co_await wake_.wait_for(std::max(0.01, limit - now_s()));
+    if (!authority_.majority(now_s())) {
+        authority_.clear();
+        co_await release_all();
+        boost::random::uniform_real_distribution<double> pause(0.1, 0.4);
+        co_await net::sleep_s(pause(random_));
+        co_return;
+    }
+    double lease_sent = now_s();
+    auto lease = co_await state_.new_lease(c::leader_lease_s);
+    if (!lease) {
+        authority_.clear();
+        co_await release_all();
+        co_return;
+    }
+    raises_ = 0;
+    auto value = wire::encode_leader({settings_.node, incarnation_, 0});
+    std::vector<txn_condition> when{{leader_key, 0}};
+    std::vector<txn_op> ops{{leader_key, value, *lease}};
+    auto t = co_await state_.commit(when, ops, store::urgency::leadership);
+    std::uint64_t version = 0;
+    if (t.how == store::txn_outcome::committed) {
+        version = t.revision;
+    } else if (t.how == store::txn_outcome::unknown) {
+        // It may have been executed, or may yet be; only our own key counts.
+        auto i = co_await state_.get(leader_key, store::urgency::leadership);
+        if (i && i->found && i->kv.lease == *lease)
+            version = i->kv.version;
+    }
+    now = now_s();
+    // The promises must still hold now that the key is ours: else the former leader may have got
+    // them back in between.
+    if (!version || !authority_.majority(now)) {
+        authority_.clear();
+        net::spawn(io_, state_.end_lease(*lease), "end lease");
+        co_await release_all();
+        co_return;
+    }
+    lease_ = *lease;
+    token_ = version;
+    authority_.lease_renewed(lease_sent, c::leader_lease_s);
+    book_.grant(candidacy_, c::promise_s, now);
+    authority_.promised(settings_.node, now, c::promise_s);
+    leader_ = true;
+    resigned_ = false;
+    raise_wanted_ = false;
+    key_holder_ = settings_.node;
+    state_.leading(true);
+    spdlog::info("leading with token {}", token_);
+    if (on_elected)
+        on_elected();
+}
+
+awaitable<void> member::renew_lease() {
+    if (renewing_)
+        co_return;
+    renewing_ = true;
+    double sent = now_s();
+    auto lease = lease_;
+    auto r = co_await state_.renew(lease);
+    renewing_ = false;
+    if (!leader_ || lease != lease_)
+        co_return;
+    if (r == store::state_client::renewal::ok)
+        authority_.lease_renewed(sent, c::leader_lease_s);
+    else if (r == store::state_client::renewal::ended) {
+        // The key is gone and with it every write: others may stand as soon as promises end.
+        authority_.lease_ended();
+        resign("its lease at the state service ended");
+    }
+}
+
+awaitable<void> member::raise() {
+    if (raising_)
+        co_return;
+    raising_ = true;
+    auto value = wire::encode_leader({settings_.node, incarnation_, raises_ + 1});
+    std::vector<txn_condition> when{{leader_key, token_}};
+    std::vector<txn_op> ops{{leader_key, value, lease_}};
+    auto t = co_await state_.commit(when, ops, store::urgency::leadership);
+    std::uint64_t version = 0;
+    if (t.how == store::txn_outcome::committed) {
+        version = t.revision;
+    } else if (t.how == store::txn_outcome::unknown || t.how == store::txn_outcome::conflict) {
+        auto i = co_await state_.get(leader_key, store::urgency::leadership);
+        if (i && i->found && i->kv.lease == lease_)
+            version = i->kv.version;
+    }
+    raising_ = false;
+    if (version > token_ && leader_) {
+        token_ = version;
+        ++raises_;
+        spdlog::debug("token raised to {}", token_);
+        if (on_token)
+            on_token(token_);
+    }
+}
+
+// A leader cut from the state service or the workers gives way to a controller that is not.
+bool member::better_elsewhere(double now) {
+    double blind = state_.silence(now), deaf = now - last_report_;
+    for (auto &p : peers_) {
+        if (p->heard_at < 0 || now - p->heard_at > 2 * c::leader_renew_s + c::peer_timeout_s)
+            continue;
+        if (blind > c::resign_blind_s && p->state_ok)
+            return true;
+        if (last_report_ > 0 && deaf > c::resign_deaf_s && p->reports_age < 3.0)
+            return true;
+    }
+    return false;
+}
+
+awaitable<void> member::lead() {
+    double next_round = 0, started = now_s();
+    last_report_ = started;
+    while (!stopping_ && !resigned_) {
+        double now = now_s();
+        if (!authority_.valid(now)) {
+            spdlog::warn("leadership lapsed");
+            break;
+        }
+        if (now >= next_round) {
+            next_round = now + c::leader_renew_s;
+            net::spawn(io_, renew_lease(), "renew");
+            if (book_.grant(candidacy_, c::promise_s, now))
+                authority_.promised(settings_.node, now, c::promise_s);
+            for (auto &p : peers_)
+                net::spawn(io_, ask(*p, c::promise_s, false), "ask " + p->name);
+            if (better_elsewhere(now)) {
+                no_stand_until_ = now + c::resign_pause_s;
+                resign("another controller is better placed");
+                break;
+            }
+        }
+        if (raise_wanted_ && !raising_) {
+            raise_wanted_ = false;
+            net::spawn(io_, raise(), "raise");
+        }
+        co_await wake_.wait_for(std::max(0.01, std::min(next_round - now_s(), 0.1)));
+    }
+    leader_ = false;
+    authority_.clear();
+    state_.leading(false);
+    if (on_deposed)
+        on_deposed();
+    net::spawn(io_, state_.end_lease(lease_), "end lease");
+    co_await release_all();
+    co_await net::sleep_s(0.1);
+}
+
+} // namespace spindlecroft::membership
--- /dev/null
+++ b/src/membership/member.hpp
@@ -0,0 +1,80 @@
+// This controller's part in choosing a leader: promises, the leader key, and standing for it.
+#pragma once
+#include "membership/promises.hpp"
+#include "net/http.hpp"
+#include "settings/settings.hpp"
+#include "store/state_client.hpp"
+#include <boost/random/mersenne_twister.hpp>
+#include <functional>
+
+namespace spindlecroft::membership {
+
+class member {
+  public:
+    member(net::asio::io_context &io, const settings::settings &s, store::state_client &state);
+
+    // The long-lived duty: follows the leader key, stands when it is free, leads while entitled.
+    net::awaitable<void> run();
+    void stop();
+
+    // Checked right before every answer and order.
+    bool leading() const;
+    std::uint64_t token() const { return token_; }
+    // Whom reports should go to, as far as known; empty: unknown.
+    std::string leader_hint() const;
+    void resign(const char *why);
+    // Raises the token within this leadership.
+    void want_raise() { raise_wanted_ = true; }
+
+    // A message from another controller.
+    std::string on_message(const std::string &body);
+    // Another controller said of late that the state service answers it.
+    bool state_served_elsewhere() const;
+    void note_report() { last_report_ = net::now_s(); }
+
+    std::function<void()> on_elected; // the token is set
+    std::function<void()> on_deposed;
+    std::function<void(std::uint64_t)> on_token;
+    // The other controllers, for other exchanges.
+    net::client *peer(const std::string &name);
+
+  private:
+    struct peer_state {
+        std::string name;
+        std::unique_ptr<net::client> client;
+        bool state_ok = false;
+        double reports_age = 1e9;
+        double heard_at = -1;
+        bool busy = false;
+    };
+    net::awaitable<void> follow();
+    net::awaitable<void> stand();
+    net::awaitable<void> lead();
+    net::awaitable<void> ask(peer_state &p, double length_s, bool candidate);
+    net::awaitable<void> release_all();
+    net::awaitable<void> renew_lease();
+    net::awaitable<void> raise();
+    bool better_elsewhere(double now);
+
+    net::asio::io_context &io_;
+    const settings::settings &settings_;
+    store::state_client &state_;
+    std::string incarnation_; // this run of this controller
+    std::string candidacy_;   // this candidacy of this run, and the leadership that follows
+    std::uint64_t stands_ = 0;
+    promise_book book_;
+    authority authority_;
+    std::vector<std::unique_ptr<peer_state>> peers_;
+    boost::random::mt19937 random_;
+    bool leader_ = false, stopping_ = false, resigned_ = false, raise_wanted_ = false;
+    bool renewing_ = false, raising_ = false;
+    std::uint64_t token_ = 0, lease_ = 0, raises_ = 0;
+    std::string key_holder_;      // node named by the leader key, as last read
+    std::string hint_;            // node that asks for promises as leader
+    double hint_at_ = -1e9;
+    double no_stand_until_ = 0;
+    double last_report_ = -1e9;
+    net::signal wake_;
+};
+
+} // namespace spindlecroft::membership
--- /dev/null
+++ b/src/net/http.hpp
@@ -0,0 +1,81 @@
+// HTTP/1.1 over Beast: a server with bounds, and clients that reuse their connections.
+#pragma once
+#include "net/async.hpp"
+#include "settings/settings.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace spindlecroft::net {
+
+struct request {
+    std::string method, target, body;
+};
+
+struct response {
+    int status = 200;
+    std::string body;
+    int retry_after_s = 0; // 0: header left out
+    bool cbor = false;
+};
+
+using handler = std::function<awaitable<response>(request)>;
+
+struct server_limits {
+    std::size_t connections = 1000;
+    double idle_s = 75, request_s = 5;
+};
+
+class server {
+  public:
+    server(asio::io_context &io, const settings::address &at, handler h, server_limits limits,
+           std::string name);
+    void start();
+    void stop();
+    std::size_t open() const { return open_; }
+
+  private:
+    awaitable<void> accept_loop();
+    awaitable<void> serve(asio::ip::tcp::socket socket);
+    asio::io_context &io_;
+    asio::ip::tcp::acceptor acceptor_;
+    handler handler_;
+    server_limits limits_;
+    std::string name_;
+    std::size_t open_ = 0;
+    bool stopping_ = false;
+};
+
+enum class outcome {
+    answered, // a response came
+    not_sent, // surely never received by the other side
+    unknown   // may have been executed, or may yet be
+};
+
+struct reply {
+    outcome how = outcome::not_sent;
+    int status = 0;
+    std::string body;
+    bool ok() const { return how == outcome::answered && status == 200; }
+};
+
+// A client for one host. Any number of requests may be open; finished connections are kept.
+class client {
+  public:
+    client(asio::io_context &io, const settings::address &to, std::size_t idle);
+    ~client();
+    awaitable<reply> call(std::string method, std::string target, std::string body,
+                          double timeout_s, bool cbor = false);
+    const settings::address &to() const { return to_; }
+
+  private:
+    struct connection;
+    asio::io_context &io_;
+    settings::address to_;
+    std::size_t idle_limit_;
+    std::list<std::unique_ptr<connection>> idle_;
+};
+
+} // namespace spindlecroft::net
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,71 @@
+// Settings: the platform's TOML file and the operators' own S-expression file, both checked.
+#pragma once
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace spindlecroft::settings {
+
+struct address {
+    std::string host;
+    unsigned short port = 0;
+};
+
+struct member {
+    std::string name;
+    std::string zone;
+    address back;
+};
+
+struct team {
+    std::string name;
+    double cpus = 0, cpus_max = 0; // 0: no guarantee, no limit
+    double gpus = 0, gpus_max = 0;
+};
+
+struct objective {
+    std::string kind, job_class;
+    double share = 0, times = 0, within_s = 0;
+};
+
+// What operators may set themselves.
+struct operator_options {
+    int spare_replicas = 0;
+    double drain_target_s = 0;
+    bool spot = true;
+    int fleet_limit = 0;
+    operator_options();
+};
+
+struct settings {
+    std::string node, zone;
+    address api, back;
+    std::vector<member> members; // the others
+    address cloud, state;
+    double time_bound_s = 0;
+    std::vector<team> teams;
+    std::vector<objective> objectives;
+    double report_s = 0, lease_s = 0, cancel_s = 0;
+    double state_rps = 0, state_write_rps = 0, value_kb = 0;
+    int txn_ops = 0;
+    double cloud_rps = 0, list_lag_s = 0;
+    double core_share = 0, ram_mb = 0;
+    int max_connections = 0;
+    operator_options ops;
+
+    const team *find_team(const std::string &name) const;
+};
+
+// One line that names the key and what is wrong with it.
+class settings_error : public std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+address parse_address(const std::string &text, const std::string &key);
+settings parse(const std::string &toml_text, const std::string &origin);
+settings load(const std::string &path);
+operator_options parse_operator(const std::string &text, const std::string &origin);
+operator_options load_operator(const std::string &path);
+
+} // namespace spindlecroft::settings
--- /dev/null
+++ b/src/store/state_client.cpp
@@ -0,0 +1,195 @@
+#include "store/state_client.hpp"
+#include "constants.hpp"
+#include <fmt/format.h>
+
+namespace spindlecroft::store {
+
+namespace c = constants;
+using net::awaitable;
+
+bool budget::take(double n, urgency u, double now) {
+    if (last_ >= 0)
+        tokens_ = std::min(burst_, tokens_ + (now - last_) * rate_);
+    last_ = now;
+    // Each step down in urgency leaves another tenth of the burst to those above.
+    double reserve = 0.08 * static_cast<int>(u) * burst_;
+    if (tokens_ - n < std::min(reserve, burst_ - n))
+        return false;
+    tokens_ -= n;
+    return true;
+}
+
+state_client::state_client(net::asio::io_context &io, const settings::settings &s)
+    : client_(io, s.state, 8), settings_(s), requests_(1), writes_(1), last_ok_(net::now_s()) {
+    leading(false);
+}
+
+void state_client::leading(bool yes) {
+    // All nodes together stay below the limits; the leader's part is the larger one.
+    double others = std::max<std::size_t>(1, settings_.members.size());
+    double share = settings_.members.empty() ? 1.0
+                   : yes                     ? c::leader_write_share
+                                             : (1 - c::leader_write_share) / others;
+    double floor = settings_.members.empty() ? 1.0 : 0.5;
+    requests_.set_rate(c::state_share * settings_.state_rps *
+                       (settings_.members.empty() ? 1.0 : yes ? floor : 0.5 / others));
+    writes_.set_rate(std::max(2.0, c::state_share * settings_.state_write_rps * share));
+}
+
+awaitable<void> state_client::admit(urgency u, double writes) {
+    for (;;) {
+        double now = net::now_s();
+        // Leadership is never made to wait by our own bookkeeping.
+        bool a = requests_.take(1, u, now) || u == urgency::leadership;
+        if (a && (writes <= 0 || writes_.take(writes, u, now) || u == urgency::leadership))
+            co_return;
+        co_await net::sleep_s(0.02);
+    }
+}
+
+awaitable<net::reply> state_client::call(std::string method, std::string target, std::string body,
+                                         double timeout, urgency u, double writes) {
+    co_await admit(u, writes);
+    ++requests;
+    this->writes += static_cast<std::uint64_t>(writes);
+    auto r = co_await client_.call(std::move(method), std::move(target), std::move(body), timeout);
+    if (r.how == net::outcome::answered) {
+        if (r.status == 429) {
+            requests_.drain();
+            if (writes > 0)
+                writes_.drain();
+        } else if (r.status != 503) {
+            last_ok_ = net::now_s();
+        }
+    }
+    co_return r;
+}
+
+awaitable<std::optional<state_client::item>> state_client::get(std::string key, urgency u) {
+    auto r = co_await call("GET", "/kv/" + key, "", c::state_timeout_s, u);
+    item i;
+    try {
+        if (r.ok()) {
+            i.found = true;
+            i.kv = *wire::parse_item(r.body);
+            co_return i;
+        }
+        if (r.how == net::outcome::answered && r.status == 404) {
+            i.at.revision = wire::parse_revision(r.body);
+            co_return i;
+        }
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("state service: {}", e.what());
+    }
+    co_return std::nullopt;
+}
+
+awaitable<std::optional<wire::range_answer>> state_client::list(std::string prefix, urgency u) {
+    wire::range_answer all;
+    std::string after;
+    for (;;) {
+        auto r = co_await call("GET", wire::range_target(prefix, after, c::page_items), "",
+                               c::state_timeout_s * 2, u);
+        if (!r.ok())
+            co_return std::nullopt;
+        try {
+            auto page = wire::parse_range(r.body);
+            // The first page's revision: a watch from there repeats what later pages hold.
+            if (after.empty())
+                all.revision = page.revision;
+            for (auto &i : page.items)
+                all.items.push_back(std::move(i));
+            if (!page.more || page.items.empty())
+                co_return all;
+            after = all.items.back().key;
+        } catch (const wire::bad_message &e) {
+            spdlog::warn("state service: {}", e.what());
+            co_return std::nullopt;
+        }
+    }
+}
+
+awaitable<std::optional<wire::range_answer>>
+state_client::watch(std::string prefix, std::uint64_t since, int hold_ms, urgency u, bool &gone) {
+    gone = false;
+    auto r = co_await call("GET", wire::watch_target(prefix, since, hold_ms), "",
+                           c::state_timeout_s + hold_ms / 1000.0, u);
+    if (r.how == net::outcome::answered && r.status == 410)
+        gone = true;
+    if (!r.ok())
+        co_return std::nullopt;
+    try {
+        co_return wire::parse_watch(r.body);
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("state service: {}", e.what());
+        co_return std::nullopt;
+    }
+}
+
+awaitable<txn_result> state_client::commit(std::vector<txn_condition> when,
+                                           std::vector<txn_op> ops, urgency u) {
+    auto n = static_cast<double>(ops.size());
+    auto r = co_await call("POST", "/commit", wire::encode_txn(when, ops), c::state_timeout_s, u,
+                           n);
+    txn_result t;
+    if (r.how == net::outcome::not_sent) {
+        t.how = txn_outcome::refused;
+        co_return t;
+    }
+    if (r.how == net::outcome::unknown) {
+        t.how = txn_outcome::unknown;
+        co_return t;
+    }
+    try {
+        if (r.status == 200) {
+            t.how = txn_outcome::committed;
+            t.revision = wire::parse_txn(r.body).revision;
+        } else if (r.status == 409) {
+            auto a = wire::parse_txn(r.body);
+            t.how = txn_outcome::conflict;
+            t.failed = a.failed;
+            t.revision = a.revision;
+        } else if (r.status == 400) {
+            t.how = txn_outcome::bad;
+            t.error = r.body;
+        } else {
+            // 429 and 503 were not executed; anything else may have been.
+            t.how = r.status == 429 || r.status == 503 ? txn_outcome::refused
+                                                       : txn_outcome::unknown;
+        }
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("state service: {}", e.what());
+        t.how = txn_outcome::unknown;
+    }
+    co_return t;
+}
+
+awaitable<std::optional<std::uint64_t>> state_client::new_lease(double ttl_s) {
+    auto r = co_await call("POST", "/leases", wire::encode_ttl(static_cast<int>(ttl_s * 1000)),
+                           c::state_timeout_s, urgency::leadership);
+    if (!r.ok())
+        co_return std::nullopt;
+    try {
+        co_return wire::parse_lease(r.body);
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("state service: {}", e.what());
+        co_return std::nullopt;
+    }
+}
+
+awaitable<state_client::renewal> state_client::renew(std::uint64_t lease) {
+    auto r = co_await call("POST", fmt::format("/leases/{}/renew", lease), "{}",
+                           c::leader_renew_s, urgency::leadership);
+    if (r.ok())
+        co_return renewal::ok;
+    if (r.how == net::outcome::answered && r.status == 404)
+        co_return renewal::ended;
+    co_return renewal::unsure;
+}
+
+awaitable<void> state_client::end_lease(std::uint64_t lease) {
+    co_await call("DELETE", fmt::format("/leases/{}", lease), "", c::state_timeout_s,
+                  urgency::leadership);
+}
+
+} // namespace spindlecroft::store
--- /dev/null
+++ b/src/store/state_client.hpp
@@ -0,0 +1,72 @@
+// The client of the state service: a request budget with priorities, and the calls of its protocol.
+#pragma once
+#include "net/http.hpp"
+#include "wire/codec.hpp"
+#include <optional>
+
+namespace spindlecroft::store {
+
+// Who goes first when the budget is short.
+enum class urgency { leadership, cancel, accept, placement, done, rest };
+
+// A budget that refills with time; lower urgencies leave a reserve for higher ones. Pure.
+class budget {
+  public:
+    budget(double per_s, double burst_s = 1.0) : rate_(per_s), burst_(per_s * burst_s) {
+        tokens_ = burst_;
+    }
+    // Takes n if allowed; otherwise returns false and takes nothing.
+    bool take(double n, urgency u, double now);
+    void set_rate(double per_s) { rate_ = per_s, burst_ = per_s; }
+    void drain() { tokens_ = 0; } // the service refused: others used it up
+
+  private:
+    double rate_, burst_, tokens_ = 0, last_ = -1;
+};
+
+enum class txn_outcome { committed, conflict, refused, unknown, bad };
+struct txn_result {
+    txn_outcome how = txn_outcome::refused;
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;
+    std::string error;
+};
+
+class state_client {
+  public:
+    state_client(net::asio::io_context &io, const settings::settings &s);
+
+    // Each returns nothing when the service did not answer as expected.
+    struct item {
+        bool found = false;
+        wire::range_answer at; // revision when not found
+        kv_item kv;
+    };
+    net::awaitable<std::optional<item>> get(std::string key, urgency u);
+    net::awaitable<std::optional<wire::range_answer>> list(std::string prefix, urgency u);
+    // status 410: nothing, with gone set.
+    net::awaitable<std::optional<wire::range_answer>>
+    watch(std::string prefix, std::uint64_t since, int hold_ms, urgency u, bool &gone);
+    net::awaitable<txn_result> commit(std::vector<txn_condition> when, std::vector<txn_op> ops,
+                                      urgency u);
+    net::awaitable<std::optional<std::uint64_t>> new_lease(double ttl_s);
+    enum class renewal { ok, ended, unsure };
+    net::awaitable<renewal> renew(std::uint64_t lease);
+    net::awaitable<void> end_lease(std::uint64_t lease);
+
+    // Seconds since the service last answered properly.
+    double silence(double now) const { return now - last_ok_; }
+    void leading(bool yes); // the leader may use more of the budget
+    std::uint64_t requests = 0, writes = 0;
+
+  private:
+    net::awaitable<void> admit(urgency u, double writes);
+    net::awaitable<net::reply> call(std::string method, std::string target, std::string body,
+                                    double timeout, urgency u, double writes = 0);
+    net::client client_;
+    const settings::settings &settings_;
+    budget requests_, writes_;
+    double last_ok_;
+};
+
+} // namespace spindlecroft::store
--- /dev/null
+++ b/src/wire/codec.hpp
@@ -0,0 +1,130 @@
+// JSON and CBOR codecs: validation of what comes in, the words of the wire for what goes out.
+#pragma once
+#include "wire/types.hpp"
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace spindlecroft::wire {
+
+// A message that cannot be taken; what() names the field.
+class bad_message : public std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// --- paths ---
+inline constexpr const char *path_jobs = "/submissions";
+inline constexpr const char *path_ready = "/ready";
+inline constexpr const char *path_report = "/checkin";
+inline constexpr const char *path_commands = "/commands";
+inline constexpr const char *path_types = "/machine_types";
+inline constexpr const char *path_hosts = "/hosts";
+inline constexpr const char *path_hosts_delete = "/hosts/delete";
+inline constexpr const char *suffix_cancel = "abort";
+
+// True for ids of the form job-NNN: at most 100 characters of digits, letters, '-' and '_'.
+bool valid_job_id(const std::string &id);
+std::string_view stage_word(job_stage s);
+
+// --- users ---
+job_spec parse_submission(const std::string &body);
+std::string encode_accepted(const std::string &id, job_stage stage);
+std::string encode_status(const job_status &s);
+std::string encode_error(const std::string &what);
+// The job as kept in the state service: the same fields as a submission.
+std::string encode_spec(const job_spec &s);
+
+// --- workers ---
+worker_report parse_report(const std::string &body);
+std::string encode_orders(std::uint64_t token, const std::vector<order> &orders);
+std::string encode_commands(std::uint64_t token, std::uint64_t session,
+                            const std::vector<order> &orders);
+std::string encode_redirect(const std::string &node);
+
+// --- cloud ---
+std::vector<machine_type> parse_types(const std::string &body);
+std::string encode_types(const std::vector<machine_type> &types);
+std::string encode_rental(const rental &r);
+std::vector<std::string> parse_rented(const std::string &body);
+std::string encode_delete(const std::vector<std::string> &machines);
+struct host_page {
+    std::vector<host> hosts;
+    bool more = false;
+};
+host_page parse_hosts(const std::string &body);
+std::string hosts_target(const std::string &after, int limit);
+
+// --- state service ---
+struct txn_answer {
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;
+    std::string error;
+};
+std::string encode_txn(const std::vector<txn_condition> &when, const std::vector<txn_op> &ops);
+txn_answer parse_txn(const std::string &body);
+struct range_answer {
+    std::vector<kv_item> items;
+    bool more = false;
+    std::uint64_t revision = 0;
+};
+range_answer parse_range(const std::string &body);
+std::string range_target(const std::string &prefix, const std::string &after, int limit);
+std::optional<kv_item> parse_item(const std::string &body);
+std::uint64_t parse_revision(const std::string &body);
+range_answer parse_watch(const std::string &body);
+std::string watch_target(const std::string &prefix, std::uint64_t since, int hold_ms);
+// Equal as JSON, whatever the spelling.
+bool same_json(const std::string &a, const std::string &b);
+std::string encode_ttl(int ms);
+std::uint64_t parse_lease(const std::string &body);
+
+// --- our records in the state service ---
+struct job_record {
+    bool cancelled = false;
+    double accepted_at = 0; // s, time of day
+    job_spec spec;
+};
+std::string encode_job_record(const job_record &r);
+job_record parse_job_record(const std::string &value);
+struct ended_record {
+    job_stage stage = job_stage::done;
+    std::uint32_t done = 0;
+};
+std::string encode_ended(const ended_record &r);
+ended_record parse_ended(const std::string &value);
+struct placed_task {
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    std::string machine;
+    bool operator==(const placed_task &) const = default;
+};
+std::string encode_placed(const std::vector<placed_task> &tasks);
+std::vector<placed_task> parse_placed(const std::string &value);
+std::string encode_done_bits(const std::vector<bool> &bits);
+std::vector<bool> parse_done_bits(const std::string &value);
+struct leader_record {
+    std::string node, incarnation;
+    std::uint64_t raise = 0; // counts the raises of the token within one leadership
+};
+std::string encode_leader(const leader_record &r);
+leader_record parse_leader(const std::string &value);
+struct rental_record {
+    rental what;
+    double at = 0;                     // s, time of day
+    std::vector<std::string> machines; // empty until the cloud has answered
+};
+std::string encode_rental_record(const rental_record &r);
+rental_record parse_rental_record(const std::string &value);
+
+// --- between our own processes: CBOR maps of text to integers and texts ---
+struct peer_message {
+    std::map<std::string, std::uint64_t> numbers;
+    std::map<std::string, std::string> texts;
+    std::uint64_t number(const std::string &key, std::uint64_t fallback = 0) const;
+    std::string text(const std::string &key) const;
+};
+std::string encode_peer(const peer_message &m);
+peer_message parse_peer(const std::string &body);
+
+} // namespace spindlecroft::wire
--- /dev/null
+++ b/src/workers/machine.hpp
@@ -0,0 +1,62 @@
+// A rented machine: what its worker reported, and what must be presumed of it.
+#pragma once
+#include "catalog/job.hpp"
+#include "wire/types.hpp"
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace spindlecroft::workers {
+
+struct queued_task {
+    catalog::task_ref task;
+    priority rank = priority::normal;
+    double estimate_s = 0;
+};
+
+struct machine {
+    std::string name, address, zone;
+    machine_type type;
+    bool spot = false;
+    bool known_type = false;
+
+    double rented_at = 0; // s; when we asked for it or first saw it
+    bool up = false;      // its worker has reported
+    double up_at = 0;
+    double listed_at = -1; // s; first seen in a machine list
+    bool deleting = false; // a deletion is wanted or under way
+    double delete_sent_at = -1;
+    double doomed_at = -1; // s; when a notice runs out
+
+    std::uint64_t session = 0, seq = 0, token = 0;
+    double heard_at = -1;   // s; newest report
+    double lease_bound = 0; // s; after this an unheard worker has surely killed its tasks
+
+    // A direct command that may still arrive: it is dead only once the worker has seen a higher
+    // token, or has a newer session.
+    int commands_open = 0;
+    std::uint64_t unresolved_token = 0, unresolved_session = 0;
+
+    std::set<catalog::task_ref> attempts; // not proven gone
+    std::deque<queued_task> queue;        // won, not yet placed
+    std::map<std::string, double> images; // cached, with the time of last use
+    std::map<std::string, double> image_gb;
+    std::vector<order> strays; // orders for tasks that nobody should have
+
+    double speed = 1.0; // measured, relative to what was expected
+    int speed_samples = 0;
+    std::set<std::string> error_jobs; // jobs that failed here since the last success
+    bool quarantined = false;
+    double idle_since = 0;
+    double refused_until = 0; // a start was refused for lack of room
+
+    bool tainted() const {
+        return commands_open > 0 || (unresolved_token > 0 && token <= unresolved_token &&
+                                     session <= unresolved_session);
+    }
+    bool usable() const { return !deleting && !quarantined && doomed_at < 0 && known_type; }
+    void use_image(const std::string &image, double gb, double now);
+};
+
+} // namespace spindlecroft::workers
