--- a/src/catalog/job.hpp
+++ b/src/catalog/job.hpp
@@ -30,12 +30,12 @@
     std::string machine;
     attempt_phase phase = attempt_phase::committing;
     exit_cause cause = exit_cause::none;
-    double estimate_s = 0;     // run time expected on this machine
-    double created_at = 0;     // s
-    double running_since = -1; // s, when first reported running
-    double fetch_since = -1;   // s
+    double estimate_s = 0;                        // run time expected on this machine
+    double created_at = 0;                        // s
+    double running_since = -1;                    // s, when first reported running
+    double fetch_since = -1;                      // s
     std::uint64_t sent_session = 0, sent_seq = 0; // report whose answer carried the start
-    bool inherited = false;    // from an earlier leader's placement record
+    bool inherited = false;                       // from an earlier leader's placement record
     bool stop_wanted = false;
     double grace_s = 0;
     double stop_since = -1;
@@ -56,18 +56,18 @@
     double cancelled_at = 0;
     bool end_writing = false, ended = false;
 
-    std::vector<bool> done;         // known done (durable or being written)
-    std::uint32_t done_count = 0;   // durable
-    std::uint32_t done_seen = 0;    // reported, perhaps not yet durable
-    std::uint32_t next_fresh = 0;   // tasks from here on were never placed
-    std::set<std::uint32_t> again;  // placed before, to be placed again
+    std::vector<bool> done;                      // known done (durable or being written)
+    std::uint32_t done_count = 0;                // durable
+    std::uint32_t done_seen = 0;                 // reported, perhaps not yet durable
+    std::uint32_t next_fresh = 0;                // tasks from here on were never placed
+    std::set<std::uint32_t> again;               // placed before, to be placed again
     std::map<std::uint32_t, std::string> queued; // in the queue of this machine
     std::map<std::uint32_t, attempt> live;
-    std::vector<bool> done_durable; // of these, written
-    double write_after = 0;         // s; pause after a conflict
+    std::vector<bool> done_durable;                   // of these, written
+    double write_after = 0;                           // s; pause after a conflict
     std::set<std::uint32_t> done_dirty, placed_dirty; // chunks to write
-    std::set<std::uint32_t> done_busy, placed_busy;                 // chunks being written
-    std::set<std::uint32_t> placed_keys, done_keys;                 // chunks that exist
+    std::set<std::uint32_t> done_busy, placed_busy;   // chunks being written
+    std::set<std::uint32_t> placed_keys, done_keys;   // chunks that exist
 
     double took_sum = 0; // s; run times of its done tasks, at the speed of an ordinary machine
     int took_count = 0;
--- a/src/catalog/job_cache.cpp
+++ b/src/catalog/job_cache.cpp
@@ -131,8 +131,8 @@
         }
         auto serving = reads_wanted_;
         bool gone = false;
-        auto w = co_await state_.watch(control::jobs_prefix, revision_, 0, store::urgency::accept,
-                                       gone);
+        auto w =
+            co_await state_.watch(control::jobs_prefix, revision_, 0, store::urgency::accept, gone);
         if (gone)
             reload_ = true;
         if (w) {
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -6,94 +6,114 @@
 namespace spindlecroft::constants {
 
 // --- limits of the wire (PROTOCOL) ---
-inline constexpr std::size_t body_limit = 64 * 1024;        // bytes; no request may be larger
-inline constexpr std::size_t line_limit = 64 * 1024;        // bytes; no response line may be larger
-inline constexpr std::size_t answer_limit = 8 * 1024 * 1024; // bytes; a watch answer is unlimited, ours to bound
-inline constexpr std::uint64_t threads_limit = 100'000;     // tasks in one job
-inline constexpr int page_items = 1000;                     // items; the state service's largest page
-inline constexpr int host_page = 500;                       // machines; the cloud's largest page
-inline constexpr int hosts_per_request = 50;                // machines in one rental request
-inline constexpr int deletes_per_request = 100;             // names in one deletion
-inline constexpr std::size_t txn_bytes = 48 * 1024;         // bytes; 64 KiB less room for conditions
+inline constexpr std::size_t body_limit = 64 * 1024; // bytes; no request may be larger
+inline constexpr std::size_t line_limit = 64 * 1024; // bytes; no response line may be larger
+inline constexpr std::size_t answer_limit =
+    8 * 1024 * 1024; // bytes; a watch answer is unlimited, ours to bound
+inline constexpr std::uint64_t threads_limit = 100'000; // tasks in one job
+inline constexpr int page_items = 1000;                 // items; the state service's largest page
+inline constexpr int host_page = 500;                   // machines; the cloud's largest page
+inline constexpr int hosts_per_request = 50;            // machines in one rental request
+inline constexpr int deletes_per_request = 100;         // names in one deletion
+inline constexpr std::size_t txn_bytes = 48 * 1024;     // bytes; 64 KiB less room for conditions
 
 // --- clocks ---
 inline constexpr double clock_drift = 0.0005; // ratio; how far two steady clocks may drift apart
-inline constexpr double lease_slack_s = 0.25; // s; covers timer steps and the 100 ms late end of a lease
+inline constexpr double lease_slack_s =
+    0.25; // s; covers timer steps and the 100 ms late end of a lease
 
 // --- server and clients ---
-inline constexpr double user_request_s = 4.0;   // s; users give up after 5 s, answer before that
-inline constexpr double idle_connection_s = 75; // s; a quiet keep-alive connection is closed after this
-inline constexpr double slow_request_s = 5.0;   // s; a request must arrive whole within this
-inline constexpr double state_timeout_s = 1.5;  // s; answers usually take 10 ms, now and then hundreds
-inline constexpr double cloud_timeout_s = 6.0;  // s; renting takes longer than reading
-inline constexpr double peer_timeout_s = 0.6;   // s; a promise is worth little when it comes later
-inline constexpr double worker_timeout_s = 2.5; // s; a command that takes longer counts as unresolved
-inline constexpr std::size_t pool_idle = 4;     // connections kept open to one host
-inline constexpr int retry_after_s = 1;         // s; told to users who get 503
+inline constexpr double user_request_s = 4.0; // s; users give up after 5 s, answer before that
+inline constexpr double idle_connection_s =
+    75; // s; a quiet keep-alive connection is closed after this
+inline constexpr double slow_request_s = 5.0; // s; a request must arrive whole within this
+inline constexpr double state_timeout_s =
+    1.5; // s; answers usually take 10 ms, now and then hundreds
+inline constexpr double cloud_timeout_s = 6.0; // s; renting takes longer than reading
+inline constexpr double peer_timeout_s = 0.6;  // s; a promise is worth little when it comes later
+inline constexpr double worker_timeout_s =
+    2.5;                                    // s; a command that takes longer counts as unresolved
+inline constexpr std::size_t pool_idle = 4; // connections kept open to one host
+inline constexpr int retry_after_s = 1;     // s; told to users who get 503
 inline constexpr double reserved_sockets = 0.25; // share of sockets that users may not take
 
 // --- leadership ---
-inline constexpr double leader_lease_s = 3.0;    // s; long enough for three renewals, short for takeover
-inline constexpr double leader_renew_s = 0.75;   // s; between renewals and promise rounds
-inline constexpr double promise_s = 3.0;         // s; length of a promise to a leader
-inline constexpr double candidacy_s = 2.0;       // s; length of a promise to a candidate
+inline constexpr double leader_lease_s =
+    3.0; // s; long enough for three renewals, short for takeover
+inline constexpr double leader_renew_s = 0.75;     // s; between renewals and promise rounds
+inline constexpr double promise_s = 3.0;           // s; length of a promise to a leader
+inline constexpr double candidacy_s = 2.0;         // s; length of a promise to a candidate
 inline constexpr double candidacy_jitter_s = 0.35; // s; spreads candidates that saw the same end
-inline constexpr double resign_blind_s = 4.0;    // s; a leader this long without state gives way to one with it
-inline constexpr double resign_deaf_s = 8.0;     // s; a leader this long without reports gives way to one with them
-inline constexpr double resign_pause_s = 20.0;   // s; it does not stand again for this long
+inline constexpr double resign_blind_s =
+    4.0; // s; a leader this long without state gives way to one with it
+inline constexpr double resign_deaf_s =
+    8.0; // s; a leader this long without reports gives way to one with them
+inline constexpr double resign_pause_s = 20.0; // s; it does not stand again for this long
 
-inline constexpr double authority_margin_s = 0.1; // s; taken off every promise and lease that we rely on
+inline constexpr double authority_margin_s =
+    0.1; // s; taken off every promise and lease that we rely on
 
 // --- state service ---
-inline constexpr double state_share = 0.9;       // share of the limits that all nodes together plan to use
+inline constexpr double state_share =
+    0.9; // share of the limits that all nodes together plan to use
 inline constexpr double leader_write_share = 0.7; // share of the writes that the leader may use
-inline constexpr double commit_gap_s = 0.03;     // s; a transaction waits this long for others to join
-inline constexpr double fence_gap_s = 0.15;      // s; between two shared reads for waiting polls
-inline constexpr double watch_gap_s = 0.10;      // s; between two openings of the long watch
-inline constexpr int watch_hold_ms = 10'000;     // ms; a watch without news returns after this
-inline constexpr double state_retry_s = 0.25;    // s; pause after a refusal
-inline constexpr std::size_t commit_queue = 4000; // waiting changes; beyond it users get 503
-inline constexpr std::uint64_t chunk_done = 4096; // tasks in a done record (1 KiB as hex digits)
-inline constexpr std::uint64_t chunk_placed = 32; // tasks in a placement record (about 3 KiB)
+inline constexpr double commit_gap_s = 0.03;  // s; a transaction waits this long for others to join
+inline constexpr double fence_gap_s = 0.15;   // s; between two shared reads for waiting polls
+inline constexpr double watch_gap_s = 0.10;   // s; between two openings of the long watch
+inline constexpr int watch_hold_ms = 10'000;  // ms; a watch without news returns after this
+inline constexpr double state_retry_s = 0.25; // s; pause after a refusal
+inline constexpr std::size_t commit_queue = 4000;    // waiting changes; beyond it users get 503
+inline constexpr std::uint64_t chunk_done = 4096;    // tasks in a done record (1 KiB as hex digits)
+inline constexpr std::uint64_t chunk_placed = 32;    // tasks in a placement record (about 3 KiB)
 inline constexpr std::size_t ended_in_memory = 4000; // ended jobs whose state is kept at hand
 
 // --- workers ---
-inline constexpr double silent_reports = 3.0;   // report intervals without a word before a machine is silent
-inline constexpr double silent_margin_s = 2.0;  // s; added to it, a report may be retried at another node
-inline constexpr double silent_share = 0.5;     // above this share of silent machines we doubt ourselves
-inline constexpr double token_bump_s = 6.0;     // s; least time between two raises of the token
-inline constexpr double command_gap_s = 0.05;   // s; direct commands wait this long to share a request
+inline constexpr double silent_reports =
+    3.0; // report intervals without a word before a machine is silent
+inline constexpr double silent_margin_s =
+    2.0; // s; added to it, a report may be retried at another node
+inline constexpr double silent_share =
+    0.5; // above this share of silent machines we doubt ourselves
+inline constexpr double token_bump_s = 6.0; // s; least time between two raises of the token
+inline constexpr double command_gap_s =
+    0.05; // s; direct commands wait this long to share a request
 
 // --- bidding ---
-inline constexpr double preempt_cost_s = 3.0;    // s; added to a bid that would stop other work
-inline constexpr double plan_gap_s = 0.1;        // s; least time between two rounds of bids
-inline constexpr double queue_limit_s = 120.0;   // s; a worker queue holds this much estimated work
-inline constexpr double idle_rebid_s = 1.0;      // s; a machine idle for this long has tasks bid again
-inline constexpr double speed_gain = 0.15;       // weight of the newest measurement of a machine's speed
-inline constexpr double class_gain = 0.1;        // weight of the newest measurement of a class's estimates
-inline constexpr double speed_floor = 0.1;       // a machine slower than this counts as this fast
-inline constexpr double slow_machine = 0.6;      // a machine slower than this is given back
-inline constexpr int slow_samples = 5;           // tasks; measurements needed before it counts as slow
+inline constexpr double preempt_cost_s = 3.0;  // s; added to a bid that would stop other work
+inline constexpr double plan_gap_s = 0.1;      // s; least time between two rounds of bids
+inline constexpr double queue_limit_s = 120.0; // s; a worker queue holds this much estimated work
+inline constexpr double idle_rebid_s = 1.0; // s; a machine idle for this long has tasks bid again
+inline constexpr double speed_gain = 0.15;  // weight of the newest measurement of a machine's speed
+inline constexpr double class_gain = 0.1; // weight of the newest measurement of a class's estimates
+inline constexpr double speed_floor = 0.1;  // a machine slower than this counts as this fast
+inline constexpr double slow_machine = 0.6; // a machine slower than this is given back
+inline constexpr int slow_samples = 5;      // tasks; measurements needed before it counts as slow
 inline constexpr double default_estimate_s = 30.0; // s; where the owner gives no estimate
-inline constexpr int errors_to_quarantine = 2;   // jobs that failed in a row on one machine
-inline constexpr double job_backoff_s = 5.0;     // s; first pause of a job whose tasks fail; doubles
+inline constexpr int errors_to_quarantine = 2;     // jobs that failed in a row on one machine
+inline constexpr double job_backoff_s = 5.0; // s; first pause of a job whose tasks fail; doubles
 inline constexpr double job_backoff_max_s = 60.0; // s; longest such pause
-inline constexpr double refused_pause_s = 3.0;   // s; a start that was refused is tried again after this
+inline constexpr double refused_pause_s =
+    3.0; // s; a start that was refused is tried again after this
 
-inline constexpr double cancel_delete_share = 0.35; // of cancel_s; a machine not proven clean by then is deleted
-inline constexpr double notice_patience = 1.5;   // ratio; notices may last this much longer than told
+inline constexpr double cancel_delete_share =
+    0.35; // of cancel_s; a machine not proven clean by then is deleted
+inline constexpr double notice_patience = 1.5; // ratio; notices may last this much longer than told
 
 // --- fleet ---
-inline constexpr double types_refresh_s = 45.0;  // s; prices move slowly
-inline constexpr double hosts_poll_s = 5.0;      // s; between two lists of the machines
-inline constexpr double refused_capacity_s = 25.0; // s; an offer that was refused is not asked for again
-inline constexpr double boot_late = 3.0;         // times startupS; a machine later than this is deleted
-inline constexpr double boot_hedge = 1.7;        // times startupS; a machine later than this is not counted on
-inline constexpr double drain_target_s = 20.0;   // s; waiting work should start within this
-inline constexpr double idle_least_s = 20.0;     // s; an idle machine is kept at least this long
-inline constexpr double idle_boots = 1.2;        // boot times; an idle machine is kept as long as its boot cost
-inline constexpr double rent_gap_s = 2.0;        // s; between two rounds of renting
-inline constexpr int spare_replicas = 2;         // replicas of the largest service that fit at once, kept warm
-inline constexpr int fleet_limit = 400;          // machines; a guard against runaway renting
+inline constexpr double types_refresh_s = 45.0; // s; prices move slowly
+inline constexpr double hosts_poll_s = 5.0;     // s; between two lists of the machines
+inline constexpr double refused_capacity_s =
+    25.0;                                // s; an offer that was refused is not asked for again
+inline constexpr double boot_late = 3.0; // times startupS; a machine later than this is deleted
+inline constexpr double boot_hedge =
+    1.7; // times startupS; a machine later than this is not counted on
+inline constexpr double drain_target_s = 20.0; // s; waiting work should start within this
+inline constexpr double idle_least_s = 20.0;   // s; an idle machine is kept at least this long
+inline constexpr double idle_boots =
+    1.2; // boot times; an idle machine is kept as long as its boot cost
+inline constexpr double rent_gap_s = 2.0; // s; between two rounds of renting
+inline constexpr int spare_replicas =
+    2; // replicas of the largest service that fit at once, kept warm
+inline constexpr int fleet_limit = 400; // machines; a guard against runaway renting
 
 } // namespace spindlecroft::constants
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -29,7 +29,9 @@
 static response error(int status, const std::string &what, int retry = 0) {
     return {status, wire::encode_error(what), retry, false};
 }
-static response unsure(const std::string &what) { return error(503, what, c::retry_after_s); }
+static response unsure(const std::string &what) {
+    return error(503, what, c::retry_after_s);
+}
 
 static net::server_limits limits_of(const settings::settings &s, bool back) {
     auto sockets = static_cast<std::size_t>(s.max_connections);
@@ -419,10 +421,6 @@
             return std::nullopt;
         return txn_condition{leader_key, member_.token()};
     };
-    l->commits.on_lost_fence = [this] {
-        // The token may have been raised while the transaction was under way; the key decides.
-        spdlog::debug("a fenced transaction failed");
-    };
     net::spawn(io_, take_over(l), "take over");
 }
 
@@ -521,8 +519,7 @@
     spdlog::info("took over in {:.2f} s: {}", now_s() - began, l->core->summary());
     // Holds the leadership alive until the last transaction is settled.
     net::spawn(
-        io_,
-        [](std::shared_ptr<leadership> l) -> awaitable<void> { co_await l->commits.run(); }(l),
+        io_, [](std::shared_ptr<leadership> l) -> awaitable<void> { co_await l->commits.run(); }(l),
         "commits");
     net::spawn(io_, watch_cloud(l), "cloud");
     co_await pump(l);
@@ -701,8 +698,8 @@
     auto &client = l->workers[address];
     try {
         if (!client)
-            client = std::make_unique<net::client>(
-                io_, settings::parse_address(address, "address"), 1);
+            client =
+                std::make_unique<net::client>(io_, settings::parse_address(address, "address"), 1);
     } catch (const settings::settings_error &e) {
         spdlog::warn("{}: {}", machine, e.what());
         l->workers.erase(address);
@@ -710,9 +707,9 @@
             l->core->command_resolved(machine);
         co_return;
     }
-    auto a = co_await client->call("POST", wire::path_commands,
-                                   wire::encode_commands(token, session, orders),
-                                   c::worker_timeout_s);
+    auto a =
+        co_await client->call("POST", wire::path_commands,
+                              wire::encode_commands(token, session, orders), c::worker_timeout_s);
     if (l->over || !l->core)
         co_return;
     bool settled = a.how == net::outcome::not_sent;
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -44,8 +44,7 @@
     net::awaitable<void> rent(std::shared_ptr<leadership> l, rental r);
     net::awaitable<void> remove(std::shared_ptr<leadership> l, std::vector<std::string> names);
     net::awaitable<void> command(std::shared_ptr<leadership> l, std::string machine);
-    net::awaitable<net::reply> cloud_call(std::string method, std::string target,
-                                          std::string body);
+    net::awaitable<net::reply> cloud_call(std::string method, std::string target, std::string body);
     bool in_charge(const std::shared_ptr<leadership> &l) const;
 
     net::asio::io_context &io_;
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -10,15 +10,21 @@
 using catalog::attempt_phase;
 namespace c = constants;
 
-std::string active_key(const std::string &job) { return active_prefix + job; }
-std::string ended_key(const std::string &job) { return ended_prefix + job; }
+std::string active_key(const std::string &job) {
+    return active_prefix + job;
+}
+std::string ended_key(const std::string &job) {
+    return ended_prefix + job;
+}
 std::string placed_key(const std::string &job, std::uint32_t chunk) {
     return fmt::format("{}{}/{}", placed_prefix, job, chunk);
 }
 std::string done_key(const std::string &job, std::uint32_t chunk) {
     return fmt::format("{}{}/{}", done_prefix, job, chunk);
 }
-std::string rental_key(const std::string &request) { return rental_prefix + request; }
+std::string rental_key(const std::string &request) {
+    return rental_prefix + request;
+}
 
 engine::engine(const settings::settings &s, std::vector<machine_type> types)
     : settings_(s), types_(std::move(types)), teams_(s.teams) {}
@@ -47,8 +53,8 @@
         i->second.rented_at = now;
         i->second.idle_since = now;
         // Whoever answered it before us, did so before our authority began.
-        i->second.lease_bound = std::max(began_, now) + settings_.lease_s * (1 + c::clock_drift) +
-                                c::lease_slack_s;
+        i->second.lease_bound =
+            std::max(began_, now) + settings_.lease_s * (1 + c::clock_drift) + c::lease_slack_s;
         dirty_ = true;
     }
     return i->second;
@@ -106,12 +112,11 @@
         cancel_job(kept, now);
 }
 
-void engine::load_done(const std::string &job, std::uint32_t chunk,
-                       const std::vector<bool> &bits) {
+void engine::load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits) {
     auto *j = job_of(job);
     if (!j) {
-        cleanup_.push_back({write_kind::cleanup, job, chunk, {}, {{done_key(job, chunk), "", 0}},
-                            {}, {}, {}});
+        cleanup_.push_back(
+            {write_kind::cleanup, job, chunk, {}, {{done_key(job, chunk), "", 0}}, {}, {}, {}});
         return;
     }
     j->done_keys.insert(chunk);
@@ -129,8 +134,8 @@
                          const std::vector<wire::placed_task> &tasks, double now) {
     auto *j = job_of(job);
     if (!j) {
-        cleanup_.push_back({write_kind::cleanup, job, chunk, {},
-                            {{placed_key(job, chunk), "", 0}}, {}, {}, {}});
+        cleanup_.push_back(
+            {write_kind::cleanup, job, chunk, {}, {{placed_key(job, chunk), "", 0}}, {}, {}, {}});
         return;
     }
     j->placed_keys.insert(chunk);
@@ -675,9 +680,9 @@
 
 void engine::answered(const std::string &machine, double now) {
     if (auto i = machines_.find(machine); i != machines_.end())
-        i->second.lease_bound = std::max(i->second.lease_bound,
-                                         now + settings_.lease_s * (1 + c::clock_drift) +
-                                             c::lease_slack_s);
+        i->second.lease_bound =
+            std::max(i->second.lease_bound,
+                     now + settings_.lease_s * (1 + c::clock_drift) + c::lease_slack_s);
 }
 
 std::vector<std::string> engine::take_urgent() {
@@ -767,7 +772,9 @@
             i->second.delete_sent_at = -1;
 }
 
-void engine::on_types(std::vector<machine_type> types) { types_ = std::move(types); }
+void engine::on_types(std::vector<machine_type> types) {
+    types_ = std::move(types);
+}
 
 void engine::on_hosts(const std::vector<host> &hosts, double asked_at, double now) {
     std::set<std::string> listed;
@@ -782,6 +789,8 @@
             if (!m.up)
                 m.rented_at = std::min(m.rented_at, now - h.age_s);
         }
+        if (h.state == host::stage::running && m.running_at < 0)
+            m.running_at = now;
         if (h.state == host::stage::failed) {
             clear_machine(m, true, now);
             want_delete(m, "failed");
@@ -901,8 +910,8 @@
     for (auto &[id, j] : jobs_) {
         if (j.end_writing || j.ended || now < j.write_after)
             continue;
-        bool complete = !j.cancelled && j.spec.shape == job_shape::array &&
-                        j.done_seen == j.spec.tasks;
+        bool complete =
+            !j.cancelled && j.spec.shape == job_shape::array && j.done_seen == j.spec.tasks;
         bool cleared = j.cancelled && j.live.empty();
         if (complete)
             for (auto &[i, a] : j.live)
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -49,13 +49,13 @@
 
 struct rental_state {
     wire::rental_record record;
-    double asked_at = 0;      // s, steady clock; when the intent arose
-    bool durable = false;     // the name is written: the cloud may be asked
-    bool asking = false;      // a request is under way
-    bool answered = false;    // machines are known
+    double asked_at = 0;   // s, steady clock; when the intent arose
+    bool durable = false;  // the name is written: the cloud may be asked
+    bool asking = false;   // a request is under way
+    bool answered = false; // machines are known
     bool names_written = false;
     bool dirty = true, busy = false; // its record is to be written, is being written
-    double next_try = 0;      // s
+    double next_try = 0;             // s
     int refusals = 0;
 };
 
@@ -92,8 +92,7 @@
     // Orders for a direct command; marks the machine until the command is resolved.
     std::vector<order> orders_in_command(const std::string &machine, double now);
     void command_resolved(const std::string &machine);
-    void command_unresolved(const std::string &machine, std::uint64_t token,
-                            std::uint64_t session);
+    void command_unresolved(const std::string &machine, std::uint64_t token, std::uint64_t session);
     void on_types(std::vector<machine_type> types);
     // A complete list of machines, asked for at asked_at.
     void on_hosts(const std::vector<host> &hosts, double asked_at, double now);
@@ -163,6 +162,9 @@
     void start_queued(machine_t &m, double now);
     bool bid_once(job_t &j, std::vector<bidder> &bidders, double now);
     std::vector<bidder> make_bidders(double now);
+    // For how long a machine that has not reported can be called booting. After a takeover even
+    // machines that are up have not reported yet.
+    double boot_age(const machine_t &m, double now) const;
     void refresh_bidder(bidder &b, double now);
     void rebid(double now);
     void plan_fleet(double now);
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -76,8 +76,7 @@
         bidder b;
         b.type = offer->type;
         b.zone = offer->zone;
-        b.free = b.critical = b.whole = {offer->type.cpus, offer->type.gpus,
-                                         offer->type.memory_gb};
+        b.free = b.critical = b.whole = {offer->type.cpus, offer->type.gpus, offer->type.memory_gb};
         b.hold(s, 0);
         fleet.push_back(std::move(b));
         return true;
@@ -129,7 +128,8 @@
             // One after another in different zones where the class is spread.
             bidder *best = nullptr;
             for (auto &b : fleet)
-                if (fits_on(b, s) && (!best || (s.spread && per_zone[b.zone] < per_zone[best->zone])))
+                if (fits_on(b, s) &&
+                    (!best || (s.spread && per_zone[b.zone] < per_zone[best->zone])))
                     best = &b;
             if (best) {
                 best->hold(s, 0);
@@ -145,17 +145,22 @@
 }
 
 void engine::fleet_for_arrays(std::vector<bidder> &fleet, double now) {
-    // Work that comes and goes: what runs, and what its team's limit lets run.
-    double work_s = 0, longest = 0;
-    const job_spec *typical = nullptr;
-    std::map<std::string, double> tasks;
-    double total_tasks = 0;
+    // Work that comes and goes, as far as its teams' limits let it run, by what a task needs. Kinds
+    // are kept apart: room for small tasks is none for large ones.
+    struct kind {
+        const job_spec *spec = nullptr;
+        double tasks = 0, work_s = 0;
+    };
+    std::map<std::string, kind> kinds;
+    std::map<std::string, double> team_cpus;
+    for (auto &[id, j] : jobs_)
+        if (j.spec.shape == job_shape::service)
+            team_cpus[j.spec.team] += j.spec.cpus * static_cast<double>(j.live.size());
     for (auto &[id, j] : jobs_) {
         if (j.spec.shape != job_shape::array || j.over() || now < j.backoff_until)
             continue;
         double n = j.waiting() + static_cast<double>(j.queued.size());
-        double expected = expected_s(j);
-        double w = n * expected;
+        double w = n * expected_s(j);
         for (auto &[i, a] : j.live)
             if (a.holds_room()) {
                 double ran = a.running_since >= 0 ? now - a.running_since : 0;
@@ -165,45 +170,54 @@
         if (n == 0)
             continue;
         auto *team = teams_.find(j.spec.team);
-        double cap = team && team->cpus_max > 0 && j.spec.cpus > 0
-                         ? std::floor(team->cpus_max / j.spec.cpus)
-                         : 1e9;
-        double before = tasks[j.spec.team];
-        double allowed = std::max(0.0, std::min(n, cap - before));
-        tasks[j.spec.team] += n;
-        work_s += w * allowed / n;
-        total_tasks += allowed;
-        if (w > longest) {
-            longest = w;
-            typical = &j.spec;
+        double allowed = n;
+        if (team && team->cpus_max > 0 && j.spec.cpus > 0) {
+            auto &used = team_cpus[j.spec.team];
+            allowed = std::clamp(std::floor((team->cpus_max - used) / j.spec.cpus), 0.0, n);
+            used += allowed * j.spec.cpus;
         }
+        if (allowed == 0)
+            continue;
+        std::string types;
+        if (j.spec.types)
+            for (auto &t : *j.spec.types)
+                types += t + ",";
+        auto &k = kinds[fmt::format("{:09.2f}|{}|{}|{}|{}|{}", 1e6 - j.spec.cpus, j.spec.memory_gb,
+                                    j.spec.gpus, types, j.spec.zone.value_or(""), j.spec.spot)];
+        k.spec = &j.spec;
+        k.tasks += allowed;
+        k.work_s += w * allowed / n;
     }
-    if (!typical || total_tasks == 0)
-        return;
-    double average = work_s / total_tasks;
-    double need = std::min(total_tasks,
-                           std::ceil(work_s / (settings_.ops.drain_target_s + average)));
-    double have = 0;
-    for (auto &b : fleet)
-        if (type_allowed(*typical, b.type.name) && (!b.spot || typical->spot))
-            have += b.whole.slots(*typical);
-    while (have < need) {
-        std::optional<rental_offer> offer;
-        if (typical->spot && settings_.ops.spot)
-            offer = cheapest_offer(*typical, true, nullptr, now);
-        if (!offer)
-            offer = cheapest_offer(*typical, false, nullptr, now);
-        if (!offer)
-            return;
-        rent(*offer, 1, now);
-        bidder b;
-        b.type = offer->type;
-        b.zone = offer->zone;
-        b.spot = offer->spot;
-        b.free = b.critical = b.whole = {offer->type.cpus, offer->type.gpus,
-                                         offer->type.memory_gb};
-        have += offer->slots;
-        fleet.push_back(std::move(b));
+    for (auto &[name, k] : kinds) {
+        auto &s = *k.spec;
+        double average = k.work_s / k.tasks;
+        double need =
+            std::min(k.tasks, std::ceil(k.work_s / (settings_.ops.drain_target_s + average)));
+        for (auto &b : fleet)
+            while (need > 0 && type_allowed(s, b.type.name) && (!s.zone || *s.zone == b.zone) &&
+                   (!b.spot || s.spot) && b.whole.fits(s)) {
+                b.whole.take(s);
+                --need;
+            }
+        while (need > 0) {
+            std::optional<rental_offer> offer;
+            if (s.spot && settings_.ops.spot)
+                offer = cheapest_offer(s, true, nullptr, now);
+            if (!offer)
+                offer = cheapest_offer(s, false, nullptr, now);
+            if (!offer)
+                break;
+            rent(*offer, 1, now);
+            bidder b;
+            b.type = offer->type;
+            b.zone = offer->zone;
+            b.spot = offer->spot;
+            b.free = b.critical =
+                b.whole = {offer->type.cpus, offer->type.gpus, offer->type.memory_gb};
+            for (; need > 0 && b.whole.fits(s); --need)
+                b.whole.take(s);
+            fleet.push_back(std::move(b));
+        }
     }
 }
 
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -100,6 +100,15 @@
     b.fetches = static_cast<int>(b.coming.size());
 }
 
+double engine::boot_age(const machine_t &m, double now) const {
+    double age = now - m.rented_at;
+    // Guards against deleting the whole fleet as never up, right after a takeover.
+    double finding_us = c::silent_reports * settings_.report_s + c::silent_margin_s;
+    if (now - began_ < finding_us)
+        age = std::min(age, m.type.boot_s);
+    return age;
+}
+
 std::vector<engine::bidder> engine::make_bidders(double now) {
     std::vector<bidder> out;
     for (auto &[name, m] : machines_) {
@@ -114,7 +123,7 @@
         b.zone = m.zone;
         b.spot = m.spot;
         if (!m.up) {
-            double age = now - m.rented_at;
+            double age = boot_age(m, now);
             if (age > c::boot_hedge * m.type.boot_s)
                 continue; // late: nothing is promised in its name
             b.boot_s = std::max(1.0, m.type.boot_s * 1.1 - age);
@@ -225,8 +234,7 @@
             std::pair<bool, double> key;
             for (auto i = teams.begin(); i != teams.end(); ++i) {
                 auto &s = i->second.front().job->spec;
-                std::pair<bool, double> k{!teams_.within_guarantee(s),
-                                          teams_.share_used(i->first)};
+                std::pair<bool, double> k{!teams_.within_guarantee(s), teams_.share_used(i->first)};
                 if (next == teams.end() || k < key) {
                     next = i;
                     key = k;
@@ -345,10 +353,12 @@
     std::size_t up = 0, silent = 0;
     double limit = c::silent_reports * settings_.report_s + c::silent_margin_s;
     auto is_silent = [&](const machine_t &m) {
-        return m.up && now - std::max(m.heard_at, began_) > limit;
+        // Listed as running without a word to us counts from then.
+        double since = m.up ? std::max(m.heard_at, began_) : m.running_at;
+        return since >= 0 && now - since > limit;
     };
     for (auto &[name, m] : machines_)
-        if (m.up && !m.deleting) {
+        if ((m.up || m.running_at >= 0) && !m.deleting) {
             ++up;
             if (is_silent(m))
                 ++silent;
@@ -358,9 +368,9 @@
     for (auto &[name, m] : machines_) {
         if (m.deleting)
             continue;
-        double age = now - m.rented_at;
-        if (is_silent(m) &&
-            (!doubt || now - std::max(m.heard_at, began_) > limit + settings_.lease_s)) {
+        double age = boot_age(m, now);
+        if (is_silent(m) && (!doubt || now - std::max({m.heard_at, m.running_at, began_}) >
+                                           limit + settings_.lease_s)) {
             want_delete(m, "silent");
         } else if (!m.up && m.known_type && age > c::boot_late * m.type.boot_s + 5) {
             want_delete(m, "never came up");
--- a/src/fairness/team_queues.cpp
+++ b/src/fairness/team_queues.cpp
@@ -16,7 +16,9 @@
     return nullptr;
 }
 
-void team_queues::clear_usage() { used_.clear(); }
+void team_queues::clear_usage() {
+    used_.clear();
+}
 
 void team_queues::add(const std::string &team, const job_spec &s, int sign) {
     auto &u = used_[team];
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -1,8 +1,8 @@
 #include "membership/member.hpp"
 #include "constants.hpp"
-#include <random>
 #include <boost/random/uniform_real_distribution.hpp>
 #include <fmt/format.h>
+#include <random>
 
 namespace spindlecroft::membership {
 
@@ -17,8 +17,7 @@
       book_(now_s(), s.members.empty()
                          ? 0
                          : c::promise_s * (1 + 2 * c::clock_drift) + c::authority_margin_s),
-      authority_(s.node, s.members.size() + 1), random_(std::random_device()()),
-      wake_(io) {
+      authority_(s.node, s.members.size() + 1), random_(std::random_device()()), wake_(io) {
     incarnation_ = fmt::format("{}#{:08x}", s.node, random_());
     for (auto &m : s.members) {
         auto p = std::make_unique<peer_state>();
@@ -35,7 +34,9 @@
     return nullptr;
 }
 
-bool member::leading() const { return leader_ && authority_.valid(now_s()); }
+bool member::leading() const {
+    return leader_ && authority_.valid(now_s());
+}
 
 std::string member::leader_hint() const {
     if (leading())
@@ -111,8 +112,8 @@
     m.numbers["state_ok"] = state_.silence(now_s()) < 2.5;
     m.numbers["ms"] = static_cast<std::uint64_t>(length_s * 1000);
     double sent = now_s();
-    auto r = co_await p.client->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s,
-                                     true);
+    auto r =
+        co_await p.client->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s, true);
     p.busy = false;
     if (!r.ok())
         co_return;
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -69,8 +69,8 @@
     bool leader_ = false, stopping_ = false, resigned_ = false, raise_wanted_ = false;
     bool renewing_ = false, raising_ = false;
     std::uint64_t token_ = 0, lease_ = 0, raises_ = 0;
-    std::string key_holder_;      // node named by the leader key, as last read
-    std::string hint_;            // node that asks for promises as leader
+    std::string key_holder_; // node named by the leader key, as last read
+    std::string hint_;       // node that asks for promises as leader
     double hint_at_ = -1e9;
     double no_stand_until_ = 0;
     double last_report_ = -1e9;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -23,7 +23,9 @@
     acceptor_.listen();
 }
 
-void server::start() { spawn(io_, accept_loop(), name_ + " listener"); }
+void server::start() {
+    spawn(io_, accept_loop(), name_ + " listener");
+}
 
 void server::stop() {
     stopping_ = true;
@@ -95,8 +97,7 @@
             answer = {413, R"({"error":"body over 64 KiB"})", 0, false};
         } else {
             auto &m = parser.get();
-            request r{std::string(m.method_string()), std::string(m.target()),
-                      std::move(m.body())};
+            request r{std::string(m.method_string()), std::string(m.target()), std::move(m.body())};
             stream.expires_never();
             try {
                 answer = co_await handler_(std::move(r));
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -196,7 +196,9 @@
     return s;
 }
 
-settings load(const std::string &path) { return parse(read_file(path), path); }
+settings load(const std::string &path) {
+    return parse(read_file(path), path);
+}
 
 // The operators' file: (spindlecroft (spare-replicas 2) (drain-target-s 20) (spot yes) ...).
 // Unlike the platform's file an unknown field here is a slip of the operator's, so it is an error.
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -51,7 +51,9 @@
                      std::string name)
     : io_(io), state_(state), settings_(s), name_(std::move(name)), wake_(io) {}
 
-bool committer::full() const { return waiting_.size() >= c::commit_queue; }
+bool committer::full() const {
+    return waiting_.size() >= c::commit_queue;
+}
 
 void committer::submit(unit u) {
     if (stopping_) {
@@ -179,42 +181,45 @@
             }
             // Conflict.
             std::set<std::string> failed(t.failed.begin(), t.failed.end());
-            if (fence_now && failed.count(fence_now->key)) {
-                if (on_lost_fence)
-                    on_lost_fence();
-                for (auto &u : batch)
-                    if (u.result)
-                        u.result(unit_outcome::lost, 0);
-                co_return;
-            }
-            // After an unknown outcome, a written key that moved may have been moved by us.
+            // After an unknown outcome it may have been our own copy that moved the keys. All or
+            // nothing was applied, so one written value tells.
             bool applied = false;
             std::uint64_t applied_at = 0;
             if (unsure) {
-                for (auto &u : batch)
-                    for (auto &o : u.ops) {
-                        if (applied || o.value.empty() || !failed.count(o.key))
-                            continue;
-                        for (;;) {
-                            auto i = co_await state_.get(o.key, rank);
-                            if (i) {
-                                if (i->found && wire::same_json(i->kv.value, o.value)) {
-                                    applied = true;
-                                    applied_at = i->kv.version;
-                                }
-                                break;
-                            }
-                            if (stopping_ || (fence && !fence()))
-                                break;
-                            co_await net::sleep_s(c::state_retry_s);
+                auto written =
+                    std::find_if(ops.begin(), ops.end(), [](auto &o) { return !o.value.empty(); });
+                if (written == ops.end()) {
+                    applied = true; // deletions of keys that nobody else writes
+                } else {
+                    for (;;) {
+                        auto i = co_await state_.get(written->key, rank);
+                        if (i) {
+                            applied = i->found && wire::same_json(i->kv.value, written->value);
+                            applied_at = i->found ? i->kv.version : 0;
+                            break;
+                        }
+                        if (stopping_ || (fence && !fence())) {
+                            for (auto &u : batch)
+                                if (u.result)
+                                    u.result(unit_outcome::lost, 0);
+                            co_return;
                         }
+                        co_await net::sleep_s(c::state_retry_s);
                     }
-                bool only_drops = true;
-                for (auto &o : ops)
-                    if (!o.value.empty())
-                        only_drops = false;
-                if (only_drops)
-                    applied = true;
+                }
+            }
+            if (!applied && fence_now && failed.count(fence_now->key)) {
+                // The token was raised meanwhile, or we lead no more: the fence tells which.
+                co_await net::sleep_s(c::state_retry_s);
+                auto again = fence();
+                if (again && again->version != fence_now->version)
+                    break;
+                if (again)
+                    continue;
+                for (auto &u : batch)
+                    if (u.result)
+                        u.result(unit_outcome::lost, 0);
+                co_return;
             }
             if (applied) {
                 for (auto &u : batch) {
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -36,7 +36,6 @@
     void stop();
 
     std::function<std::optional<txn_condition>()> fence; // nothing: not entitled
-    std::function<void()> on_lost_fence;
     void set_version(const std::string &key, std::uint64_t version);
 
   private:
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -32,7 +32,9 @@
                                              : (1 - c::leader_write_share) / others;
     double floor = settings_.members.empty() ? 1.0 : 0.5;
     requests_.set_rate(c::state_share * settings_.state_rps *
-                       (settings_.members.empty() ? 1.0 : yes ? floor : 0.5 / others));
+                       (settings_.members.empty() ? 1.0
+                        : yes                     ? floor
+                                                  : 0.5 / others));
     writes_.set_rate(std::max(2.0, c::state_share * settings_.state_write_rps * share));
 }
 
@@ -126,11 +128,11 @@
     }
 }
 
-awaitable<txn_result> state_client::commit(std::vector<txn_condition> when,
-                                           std::vector<txn_op> ops, urgency u) {
+awaitable<txn_result> state_client::commit(std::vector<txn_condition> when, std::vector<txn_op> ops,
+                                           urgency u) {
     auto n = static_cast<double>(ops.size());
-    auto r = co_await call("POST", "/commit", wire::encode_txn(when, ops), c::state_timeout_s, u,
-                           n);
+    auto r =
+        co_await call("POST", "/commit", wire::encode_txn(when, ops), c::state_timeout_s, u, n);
     txn_result t;
     if (r.how == net::outcome::not_sent) {
         t.how = txn_outcome::refused;
@@ -154,8 +156,8 @@
             t.error = r.body;
         } else {
             // 429 and 503 were not executed; anything else may have been.
-            t.how = r.status == 429 || r.status == 503 ? txn_outcome::refused
-                                                       : txn_outcome::unknown;
+            t.how =
+                r.status == 429 || r.status == 503 ? txn_outcome::refused : txn_outcome::unknown;
         }
     } catch (const wire::bad_message &e) {
         spdlog::warn("state service: {}", e.what());
@@ -178,8 +180,8 @@
 }
 
 awaitable<state_client::renewal> state_client::renew(std::uint64_t lease) {
-    auto r = co_await call("POST", fmt::format("/leases/{}/renew", lease), "{}",
-                           c::leader_renew_s, urgency::leadership);
+    auto r = co_await call("POST", fmt::format("/leases/{}/renew", lease), "{}", c::leader_renew_s,
+                           urgency::leadership);
     if (r.ok())
         co_return renewal::ok;
     if (r.how == net::outcome::answered && r.status == 404)
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -45,8 +45,8 @@
     net::awaitable<std::optional<item>> get(std::string key, urgency u);
     net::awaitable<std::optional<wire::range_answer>> list(std::string prefix, urgency u);
     // status 410: nothing, with gone set.
-    net::awaitable<std::optional<wire::range_answer>>
-    watch(std::string prefix, std::uint64_t since, int hold_ms, urgency u, bool &gone);
+    net::awaitable<std::optional<wire::range_answer>> watch(std::string prefix, std::uint64_t since,
+                                                            int hold_ms, urgency u, bool &gone);
     net::awaitable<txn_result> commit(std::vector<txn_condition> when, std::vector<txn_op> ops,
                                       urgency u);
     net::awaitable<std::optional<std::uint64_t>> new_lease(double ttl_s);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -127,7 +127,7 @@
     json::array a;
     for (const auto &x : orders) {
         json::object o;
-        o["verb"] = x.kind == order_kind::start ? "start"
+        o["verb"] = x.kind == order_kind::start  ? "start"
                     : x.kind == order_kind::stop ? "kill"
                                                  : "reap";
         o["thread"] = x.job + "/" + std::to_string(x.index);
@@ -267,8 +267,12 @@
     return "pending";
 }
 
-job_spec parse_submission(const std::string &body) { return spec_of(parse_object(body)); }
-std::string encode_spec(const job_spec &s) { return json::serialize(spec_object(s)); }
+job_spec parse_submission(const std::string &body) {
+    return spec_of(parse_object(body));
+}
+std::string encode_spec(const job_spec &s) {
+    return json::serialize(spec_object(s));
+}
 
 std::string encode_accepted(const std::string &id, job_stage stage) {
     json::object o;
@@ -523,7 +527,9 @@
     return fmt::format("/kv?starts={}&since={}&most={}", prefix, after, limit);
 }
 
-std::optional<kv_item> parse_item(const std::string &body) { return item_of(parse_object(body)); }
+std::optional<kv_item> parse_item(const std::string &body) {
+    return item_of(parse_object(body));
+}
 
 std::uint64_t parse_revision(const std::string &body) {
     return count(parse_object(body), "ledger");
@@ -559,8 +565,12 @@
     return !ec && !ed && x == y;
 }
 
-std::string encode_ttl(int ms) { return fmt::format("{{\"ttlMs\":{}}}", ms); }
-std::uint64_t parse_lease(const std::string &body) { return count(parse_object(body), "loan"); }
+std::string encode_ttl(int ms) {
+    return fmt::format("{{\"ttlMs\":{}}}", ms);
+}
+std::uint64_t parse_lease(const std::string &body) {
+    return count(parse_object(body), "loan");
+}
 
 std::string encode_job_record(const job_record &r) {
     json::object o;
@@ -589,8 +599,8 @@
 ended_record parse_ended(const std::string &value) {
     auto o = parse_object(value);
     ended_record r;
-    r.stage = text(o, "stage") == stage_word(job_stage::done) ? job_stage::done
-                                                              : job_stage::cancelled;
+    r.stage =
+        text(o, "stage") == stage_word(job_stage::done) ? job_stage::done : job_stage::cancelled;
     r.done = static_cast<std::uint32_t>(count(o, "done"));
     return r;
 }
@@ -722,8 +732,7 @@
 
 peer_message parse_peer(const std::string &body) {
     cbor_load_result result;
-    cbor_item_t *item =
-        cbor_load(reinterpret_cast<cbor_data>(body.data()), body.size(), &result);
+    cbor_item_t *item = cbor_load(reinterpret_cast<cbor_data>(body.data()), body.size(), &result);
     if (!item)
         throw bad_message("peer: not CBOR");
     std::unique_ptr<cbor_item_t, void (*)(cbor_item_t *)> guard(
@@ -741,8 +750,8 @@
         if (cbor_isa_uint(v))
             m.numbers[key] = cbor_get_int(v);
         else if (cbor_isa_string(v) && cbor_string_is_definite(v))
-            m.texts[key] = std::string(reinterpret_cast<char *>(cbor_string_handle(v)),
-                                       cbor_string_length(v));
+            m.texts[key] =
+                std::string(reinterpret_cast<char *>(cbor_string_handle(v)), cbor_string_length(v));
     }
     return m;
 }
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -24,8 +24,9 @@
     double rented_at = 0; // s; when we asked for it or first saw it
     bool up = false;      // its worker has reported
     double up_at = 0;
-    double listed_at = -1; // s; first seen in a machine list
-    bool deleting = false; // a deletion is wanted or under way
+    double listed_at = -1;  // s; first seen in a machine list
+    double running_at = -1; // s; first listed as running
+    bool deleting = false;  // a deletion is wanted or under way
     double delete_sent_at = -1;
     double doomed_at = -1; // s; when a notice runs out
 
@@ -52,8 +53,8 @@
     double refused_until = 0; // a start was refused for lack of room
 
     bool tainted() const {
-        return commands_open > 0 || (unresolved_token > 0 && token <= unresolved_token &&
-                                     session <= unresolved_session);
+        return commands_open > 0 ||
+               (unresolved_token > 0 && token <= unresolved_token && session <= unresolved_session);
     }
     bool usable() const { return !deleting && !quarantined && doomed_at < 0 && known_type; }
     void use_image(const std::string &image, double gb, double now);
--- /dev/null
+++ b/tests/trace_runner.cpp
@@ -0,0 +1,306 @@
+#include "trace_runner.hpp"
+#include <fmt/format.h>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <stdexcept>
+
+namespace spindlecroft::test {
+
+settings::settings small_settings() {
+    settings::settings s;
+    s.node = "n0";
+    s.zone = "a";
+    s.teams = {{"red", 8, 16, 0, 0}, {"blue", 0, 0, 0, 0}};
+    s.report_s = 3;
+    s.lease_s = 20;
+    s.cancel_s = 40;
+    s.state_rps = 100;
+    s.state_write_rps = 25;
+    s.value_kb = 8;
+    s.txn_ops = 16;
+    s.cloud_rps = 5;
+    s.list_lag_s = 8;
+    s.max_connections = 1000;
+    s.ops.spare_replicas = 0;
+    return s;
+}
+
+std::vector<machine_type> small_types() {
+    return {{"small", 4, 0, 16, 40, 0.5, 1.0, 0.4, 20, {"a", "b"}},
+            {"large", 16, 0, 64, 40, 1.0, 4.0, 1.6, 30, {"a", "b"}}};
+}
+
+job_spec small_job(const std::string &id) {
+    job_spec s;
+    s.id = id;
+    s.job_class = "batch";
+    s.team = "blue";
+    s.tasks = 1;
+    s.cpus = 4;
+    s.memory_gb = 8;
+    s.image = "img";
+    s.image_gb = 1;
+    s.estimate_s = 30;
+    s.spot = true;
+    return s;
+}
+
+namespace {
+
+using fields = std::map<std::string, std::vector<std::string>>;
+
+std::string show(std::uint64_t attempt) {
+    return fmt::format("{}.{}", attempt >> 20, attempt & 0xfffff);
+}
+
+std::uint64_t attempt_of(const std::string &text) {
+    auto dot = text.find('.');
+    return (std::stoull(text.substr(0, dot)) << 20) + std::stoull(text.substr(dot + 1));
+}
+
+struct runner {
+    std::unique_ptr<control::engine> core;
+    std::deque<control::durable_write> writes;
+    std::map<std::string, wire::job_record> records;
+    std::map<std::string, std::uint64_t> versions;
+    std::uint64_t revision = 100;
+    std::ostringstream out;
+
+    void say(const std::string &line) { out << "> " << line << "\n"; }
+
+    static std::string get(const fields &f, const char *key, const std::string &fallback) {
+        auto i = f.find(key);
+        return i == f.end() ? fallback : i->second.back();
+    }
+
+    void orders(const std::vector<order> &list) {
+        for (auto &o : list) {
+            auto what = o.kind == order_kind::start  ? "start"
+                        : o.kind == order_kind::stop ? "stop"
+                                                     : "forget";
+            say(fmt::format("order {} {}/{} attempt {}", what, o.job, o.index, show(o.attempt)));
+        }
+    }
+
+    void decisions(double now) {
+        core->tick(now);
+        for (auto &w : core->take_writes(now)) {
+            std::string line = "write";
+            for (auto &o : w.ops) {
+                line += fmt::format(" {}{}", o.value.empty() ? "drop " : "", o.key);
+                if (w.kind == control::write_kind::placed)
+                    for (auto &t : wire::parse_placed(o.value))
+                        line += fmt::format(" [{} on {} attempt {}]", t.index, t.machine,
+                                            show(t.attempt));
+                else if (w.kind == control::write_kind::done)
+                    line += " " + o.value;
+                else if (w.kind == control::write_kind::job_end && !o.value.empty())
+                    line += std::string(" ") +
+                            std::string(wire::stage_word(wire::parse_ended(o.value).stage));
+            }
+            for (auto &c : w.when)
+                line += fmt::format(" if {} is {}", c.key, c.version);
+            say(line);
+            writes.push_back(w);
+        }
+        for (auto &r : core->take_rentals(now))
+            say(fmt::format("rent {} {} in {} {} as {}", r.count, r.type, r.zone,
+                            r.spot ? "spot" : "ordinary", r.request));
+        for (auto &n : core->take_deletions(now))
+            say("delete " + n);
+        if (auto u = core->take_urgent(); !u.empty())
+            for (auto &n : u)
+                say("urgent " + n);
+        if (core->wants_token_raise(now))
+            say("raise the token");
+    }
+
+    worker_report report(const std::string &machine, const fields &f) {
+        worker_report r;
+        r.machine = machine;
+        r.address = "10.0.0.1:9000";
+        r.type = get(f, "type", "small");
+        r.zone = get(f, "zone", "a");
+        r.spot = get(f, "spot", "no") == "yes";
+        r.session = std::stoull(get(f, "session", "1"));
+        r.seq = std::stoull(get(f, "seq", "1"));
+        r.token = std::stoull(get(f, "token", "0"));
+        if (f.count("notice"))
+            r.notice_s = std::stod(get(f, "notice", "0"));
+        if (auto i = f.find("task"); i != f.end())
+            for (auto &t : i->second) {
+                std::istringstream in(t);
+                std::string task, attempt, state;
+                std::getline(in, task, ':');
+                std::getline(in, attempt, ':');
+                std::getline(in, state, ':');
+                task_report x;
+                auto slash = task.find('/');
+                x.job = task.substr(0, slash);
+                x.index = static_cast<std::uint32_t>(std::stoul(task.substr(slash + 1)));
+                x.attempt = attempt_of(attempt);
+                static const std::map<std::string, std::pair<task_state, exit_cause>> words = {
+                    {"fetching", {task_state::fetching, exit_cause::none}},
+                    {"running", {task_state::running, exit_cause::none}},
+                    {"saving", {task_state::saving, exit_cause::none}},
+                    {"done", {task_state::exited, exit_cause::done}},
+                    {"stopped", {task_state::exited, exit_cause::stopped}},
+                    {"error", {task_state::exited, exit_cause::error}},
+                    {"no_room", {task_state::exited, exit_cause::no_room}},
+                    {"busy", {task_state::exited, exit_cause::busy}},
+                    {"unknown", {task_state::exited, exit_cause::unknown}}};
+                std::tie(x.state, x.cause) = words.at(state);
+                r.tasks.push_back(x);
+            }
+        return r;
+    }
+
+    void run(const std::string &line) {
+        std::istringstream in(line);
+        double now = 0;
+        std::string verb, word;
+        in >> now >> verb;
+        std::vector<std::string> names;
+        fields f;
+        while (in >> word) {
+            auto eq = word.find('=');
+            if (eq == std::string::npos)
+                names.push_back(word);
+            else
+                f[word.substr(0, eq)].push_back(word.substr(eq + 1));
+        }
+        auto token = std::stoull(get(f, "token", "0"));
+        if (verb == "lead") {
+            // A new leader: all it has is what was written.
+            core = std::make_unique<control::engine>(small_settings(), small_types());
+            core->begin(now, token, 0);
+            for (auto &[id, r] : records)
+                core->load_job(id, r, versions[id], now);
+            for (auto &[key, value] : store)
+                load(key, value, now);
+            core->loaded(now);
+            writes.clear();
+        } else if (verb == "job") {
+            wire::job_record r;
+            r.accepted_at = now;
+            r.spec = small_job(names.at(0));
+            r.spec.tasks = static_cast<std::uint32_t>(std::stoul(get(f, "tasks", "1")));
+            r.spec.cpus = std::stod(get(f, "cpus", "4"));
+            r.spec.team = get(f, "team", "blue");
+            r.spec.estimate_s = std::stod(get(f, "estimate", "30"));
+            r.spec.spread = get(f, "spread", "no") == "yes";
+            r.spec.spot = get(f, "spot", "yes") == "yes";
+            r.spec.image = get(f, "image", "img");
+            if (get(f, "shape", "array") == "service") {
+                r.spec.shape = job_shape::service;
+                r.spec.rank = priority::critical;
+                r.spec.spot = false;
+                r.spec.estimate_s = 0;
+            }
+            records[names.at(0)] = r;
+            versions[names.at(0)] = ++revision;
+            core->on_job(names.at(0), r, revision, now);
+        } else if (verb == "cancel") {
+            records.at(names.at(0)).cancelled = true;
+            versions[names.at(0)] = ++revision;
+            if (get(f, "told", "yes") == "yes")
+                core->on_job(names.at(0), records[names.at(0)], revision, now);
+        } else if (verb == "report") {
+            auto age = core->on_report(report(names.at(0), f), now);
+            if (age == control::engine::report_age::dead) {
+                say("refused: out of date");
+            } else {
+                orders(core->orders_in_answer(names.at(0), now));
+                core->answered(names.at(0), now);
+            }
+        } else if (verb == "command") {
+            orders(core->orders_in_command(names.at(0), now));
+        } else if (verb == "command-answered") {
+            core->command_resolved(names.at(0));
+            core->on_report(report(names.at(0), f), now);
+        } else if (verb == "command-lost") {
+            core->command_unresolved(names.at(0), core->token(),
+                                     std::stoull(get(f, "session", "1")));
+        } else if (verb == "token") {
+            core->on_token(token);
+        } else if (verb == "written") {
+            auto list = std::move(writes);
+            writes.clear();
+            for (auto &w : list) {
+                // What the state service does: all conditions must hold.
+                bool ok = true;
+                for (auto &c : w.when)
+                    if (auto j = versions.find(c.key.substr(4));
+                        j == versions.end() ? c.version != 0 : j->second != c.version)
+                        ok = false;
+                if (ok) {
+                    ++revision;
+                    for (auto &o : w.ops) {
+                        if (o.key.rfind("j/a/", 0) == 0) {
+                            records.erase(o.key.substr(4));
+                            versions.erase(o.key.substr(4));
+                        } else if (o.value.empty()) {
+                            store.erase(o.key);
+                        } else {
+                            store[o.key] = o.value;
+                        }
+                    }
+                } else {
+                    say("refused: write for " + w.job);
+                }
+                core->on_written(w, ok, revision, now);
+            }
+        } else if (verb == "rent-unsure") {
+            core->on_rent_unsure(names.at(0), now);
+        } else if (verb == "rent-refused") {
+            core->on_rent_refused(names.at(0), now);
+        } else if (verb == "rented") {
+            core->on_rented(names.at(0), {names.begin() + 1, names.end()}, now);
+        } else if (verb == "deleted") {
+            core->on_deleted(names, now);
+        } else if (verb == "hosts") {
+            std::vector<host> hosts;
+            for (auto &n : names)
+                hosts.push_back({n, "10.0.0.1:9000", get(f, "type", "small"), get(f, "zone", "a"),
+                                 false, host::stage::running, 10});
+            core->on_hosts(hosts, now, now);
+        } else if (verb != "tick") {
+            throw std::runtime_error("unknown verb " + verb);
+        }
+        decisions(now);
+    }
+
+    std::map<std::string, std::string> store;
+    void load(const std::string &key, const std::string &value, double now) {
+        auto slash = key.rfind('/');
+        auto chunk = static_cast<std::uint32_t>(
+            key.rfind("m/", 0) == 0 ? 0 : std::stoul(key.substr(slash + 1)));
+        auto job = key.substr(2, slash - 2);
+        if (key.rfind("d/", 0) == 0)
+            core->load_done(job, chunk, wire::parse_done_bits(value));
+        else if (key.rfind("p/", 0) == 0)
+            core->load_placed(job, chunk, wire::parse_placed(value), now);
+        else if (key.rfind("m/", 0) == 0)
+            core->load_rental(wire::parse_rental_record(value), now);
+    }
+};
+
+} // namespace
+
+std::string replay(const std::string &trace) {
+    runner r;
+    std::istringstream in(trace);
+    std::string line;
+    while (std::getline(in, line)) {
+        if (line.rfind("> ", 0) == 0)
+            continue;
+        r.out << line << "\n";
+        if (line.empty() || line[0] == '#')
+            continue;
+        r.run(line);
+    }
+    return r.out.str();
+}
+
+} // namespace spindlecroft::test
--- /dev/null
+++ b/tests/unit_test.cpp
@@ -0,0 +1,427 @@
+#include "constants.hpp"
+#include "control/engine.hpp"
+#include "membership/promises.hpp"
+#include "settings/settings.hpp"
+#include "store/committer.hpp"
+#include "trace_runner.hpp"
+#include "wire/codec.hpp"
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <gtest/gtest.h>
+
+using namespace spindlecroft;
+namespace c = spindlecroft::constants;
+
+// --- wire ---
+
+static const std::string good_job =
+    R"({"uid":"job-1","lot":"l","crew":"red","shape":"array","rank":"urgent","threads":3,"cores":2.0,)"
+    R"("memGb":4,"bobbin":"img","sizeGb":1.5,"samePlace":false,"scatter":true,"loaners":true,)"
+    R"("reckonS":10.0,"knotS":0.0,"tieS":0.0,"dueS":null,"new-field":[1]})";
+
+static std::string with(std::string what, const std::string &from, const std::string &to) {
+    auto at = what.find(from);
+    return what.replace(at, from.size(), to);
+}
+
+TEST(wire, submission_survives_the_record) {
+    auto s = wire::parse_submission(good_job);
+    EXPECT_EQ(s.rank, priority::high);
+    EXPECT_FALSE(s.deadline_s);
+    EXPECT_TRUE(s.spread);
+    wire::job_record r;
+    r.cancelled = true;
+    r.accepted_at = 12.5;
+    r.spec = s;
+    auto back = wire::parse_job_record(wire::encode_job_record(r));
+    EXPECT_TRUE(back.cancelled);
+    EXPECT_EQ(wire::encode_spec(back.spec), wire::encode_spec(s));
+}
+
+TEST(wire, bad_submissions_name_the_field) {
+    struct {
+        std::string from, to, field;
+    } cases[] = {
+        {"\"uid\":\"job-1\"", "\"uid\":\"x\"", "uid"},
+        {"\"threads\":3", "\"threads\":0", "threads"},
+        {"\"threads\":3", "\"threads\":100001", "threads"},
+        {"\"threads\":3", "\"threads\":1.5", "threads"},
+        {"\"cores\":2.0", "\"cores\":-1", "cores"},
+        {"\"cores\":2.0", "\"cores\":\"2\"", "cores"},
+        {"\"shape\":\"array\"", "\"shape\":\"ring\"", "shape"},
+        {"\"rank\":\"urgent\"", "\"rank\":\"high\"", "rank"},
+        {"\"memGb\":4,", "", "memGb"},
+        {"\"bobbin\":\"img\"", "\"bobbin\":null", "bobbin"},
+    };
+    for (auto &x : cases) {
+        try {
+            wire::parse_submission(with(good_job, x.from, x.to));
+            ADD_FAILURE() << "accepted: " << x.to;
+        } catch (const wire::bad_message &e) {
+            EXPECT_EQ(std::string(e.what()).rfind(x.field + ":", 0), 0u) << e.what();
+        }
+    }
+    EXPECT_THROW(wire::parse_submission("[]"), wire::bad_message);
+    EXPECT_THROW(wire::parse_submission("{"), wire::bad_message);
+}
+
+TEST(wire, done_bits_survive) {
+    std::vector<bool> bits(4096);
+    for (std::size_t i = 0; i < bits.size(); i += 7)
+        bits[i] = true;
+    auto text = wire::encode_done_bits(bits);
+    EXPECT_LE(text.size(), 1100u); // fits the smallest value limit
+    EXPECT_EQ(wire::parse_done_bits(text), bits);
+}
+
+TEST(wire, placements_of_a_chunk_fit_the_smallest_value) {
+    std::vector<wire::placed_task> tasks;
+    for (std::uint32_t i = 0; i < c::chunk_placed; ++i)
+        tasks.push_back({99'999, ~0ull >> 1, std::string(24, 'i')});
+    auto text = wire::encode_placed(tasks);
+    EXPECT_LT(text.size(), 2048u);
+    EXPECT_EQ(wire::parse_placed(text), tasks);
+}
+
+TEST(wire, peer_messages_survive_and_garbage_is_refused) {
+    wire::peer_message m;
+    m.numbers["a"] = ~0ull;
+    m.texts["b"] = "x";
+    auto back = wire::parse_peer(wire::encode_peer(m));
+    EXPECT_EQ(back.number("a"), ~0ull);
+    EXPECT_EQ(back.text("b"), "x");
+    EXPECT_THROW(wire::parse_peer("{}"), wire::bad_message);
+    EXPECT_THROW(wire::parse_peer(""), wire::bad_message);
+}
+
+TEST(wire, report_states_and_causes) {
+    auto r = wire::parse_report(
+        R"({"spindle":"i-1","address":"1.2.3.4:5","frame":"f","croft":"a","loaners":true,"shift":2,)"
+        R"("tally":7,"warrant":3,"recallS":5.5,"threads":[{"thread":"job-1/12","try":4,)"
+        R"("stage":"exited","cause":"halted","kept":true}]})");
+    ASSERT_EQ(r.tasks.size(), 1u);
+    EXPECT_EQ(r.tasks[0].index, 12u);
+    EXPECT_EQ(r.tasks[0].cause, exit_cause::stopped);
+    EXPECT_TRUE(r.tasks[0].saved);
+    EXPECT_DOUBLE_EQ(*r.notice_s, 5.5);
+    EXPECT_TRUE(r.newer_than(1, 99));
+    EXPECT_FALSE(r.newer_than(2, 7));
+}
+
+// --- settings ---
+
+static const std::string good_settings = R"(
+member = "n0"
+location = "a"
+api_addr = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+unknown = 1
+[[members]]
+member = "n1"
+location = "b"
+addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+time_bound_ms = 25.0
+[[cluster.teams]]
+name = "red"
+cpus = 4.0
+cpus_max = 8.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 44.0
+cancel_s = 74.0
+[cluster.state]
+rps = 200.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 8
+[cluster.cloud]
+rps = 10.0
+list_lag_s = 10.0
+[cluster.machine_limits]
+core_share = 0.2
+ram_mb = 200.0
+max_connections = 5000
+)";
+
+TEST(settings, are_checked_and_errors_name_the_key) {
+    auto s = settings::parse(good_settings, "f");
+    EXPECT_EQ(s.members.size(), 1u);
+    EXPECT_EQ(s.txn_ops, 8);
+    struct {
+        std::string from, to, key;
+    } cases[] = {
+        {"lease_s = 44.0", "", "cluster.workers.lease_s"},
+        {"lease_s = 44.0", "lease_s = \"x\"", "cluster.workers.lease_s"},
+        {"rps = 200.0", "rps = -1.0", "cluster.state.rps"},
+        {"10.2.0.1:2379", "state:2379", "services.state"},
+        {"member = \"n0\"", "member = 3", "member"},
+        {"cpus = 4.0", "cpus = 9.0", "cluster.teams.cpus"},
+        {"member = \"n1\"", "member = \"n0\"", "members.member"},
+    };
+    for (auto &x : cases) {
+        try {
+            settings::parse(with(good_settings, x.from, x.to), "f");
+            ADD_FAILURE() << "accepted: " << x.to;
+        } catch (const settings::settings_error &e) {
+            EXPECT_EQ(std::string(e.what()).rfind(x.key + ":", 0), 0u) << e.what();
+        }
+    }
+}
+
+TEST(settings, operators_file_is_strict) {
+    auto o = settings::parse_operator("(spindlecroft (spare-replicas 3) (spot no))", "f");
+    EXPECT_EQ(o.spare_replicas, 3);
+    EXPECT_FALSE(o.spot);
+    for (auto *bad : {"(spindlecroft (spare 3))", "(other)", "(spindlecroft (spot maybe))",
+                      "(spindlecroft (spare-replicas x))", "(spindlecroft (spot yes) (spot no))"})
+        EXPECT_THROW(settings::parse_operator(bad, "f"), settings::settings_error) << bad;
+}
+
+// --- membership ---
+
+TEST(promises, a_restarted_voter_promises_nothing_at_first) {
+    // It may have promised to a leader a moment before it ended and came back at once.
+    membership::promise_book book(100.0, 3.0);
+    EXPECT_FALSE(book.grant("x", 3.0, 100.3));
+    EXPECT_FALSE(book.grant("x", 3.0, 102.9));
+    EXPECT_TRUE(book.grant("x", 3.0, 103.1));
+    EXPECT_FALSE(book.grant("y", 3.0, 104.0));
+    book.release("y"); // a late release of somebody else's candidacy frees nothing
+    EXPECT_FALSE(book.grant("y", 3.0, 104.0));
+    EXPECT_TRUE(book.grant("y", 3.0, 106.2));
+}
+
+TEST(promises, either_entitlement_keeps_a_leader) {
+    membership::authority a("n0", 3);
+    EXPECT_FALSE(a.valid(0));
+    a.promised("n0", 0, 3);
+    EXPECT_FALSE(a.valid(1)) << "one of three is no majority";
+    a.promised("n1", 0, 3);
+    EXPECT_TRUE(a.valid(1));
+    EXPECT_FALSE(a.valid(3)) << "counted shorter than it was given";
+    a.lease_renewed(2, 3);
+    EXPECT_TRUE(a.valid(4.5));
+    EXPECT_FALSE(a.valid(5));
+}
+
+// Three controllers, a state service with a lease, clocks that drift, lost and late messages,
+// restarts within a moment, outages: never two that hold themselves valid.
+TEST(promises, never_two_valid_leaders) {
+    using membership::authority;
+    using membership::promise_book;
+    int led = 0, handovers = 0;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        boost::random::mt19937 random(seed);
+        auto real = [&](double a, double b) {
+            return boost::random::uniform_real_distribution<double>(a, b)(random);
+        };
+        struct node {
+            std::unique_ptr<promise_book> book;
+            std::unique_ptr<authority> own;
+            double rate = 1, busy_until = 0;
+            bool leader = false, cut = false, blind = false;
+            std::string as;
+        };
+        std::vector<node> nodes(3);
+        int stands = 0;
+        std::string key; // candidacy that holds the leader key
+        double key_until = 0, outage_until = 0;
+        auto clock = [&](node &n, double t) { return t * n.rate; };
+        auto restart = [&](node &n, double t) {
+            n.book = std::make_unique<promise_book>(
+                clock(n, t), c::promise_s * (1 + 2 * c::clock_drift) + c::authority_margin_s);
+            n.own = std::make_unique<authority>("n", 3);
+            n.leader = false;
+        };
+        for (auto &n : nodes) {
+            n.rate = 1 + real(0, c::clock_drift);
+            restart(n, 0);
+        }
+        std::string last;
+        for (double t = 0; t < 400; t += 0.05) {
+            if (t >= outage_until && real(0, 1) < 0.001)
+                outage_until = t + real(1, 20), key_until = std::max(key_until, t) + 3;
+            bool outage = t < outage_until;
+            if (outage)
+                key_until = std::max(key_until, t + c::leader_lease_s);
+            else if (!key.empty() && t > key_until)
+                key.clear();
+            int valid = 0;
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                auto &n = nodes[i];
+                if (real(0, 1) < 0.0008)
+                    restart(n, t + real(0, 0.5));
+                if (real(0, 1) < 0.002)
+                    n.cut = !n.cut;
+                if (real(0, 1) < 0.002)
+                    n.blind = !n.blind;
+                bool state = !outage && !n.blind;
+                if (t < n.busy_until)
+                    continue;
+                double mine = clock(n, t);
+                auto gather = [&](double length) {
+                    if (n.book->grant(n.as, length, mine))
+                        n.own->promised(std::to_string(i), mine, length);
+                    for (std::size_t k = 0; k < nodes.size(); ++k)
+                        if (k != i && !n.cut && !nodes[k].cut && real(0, 1) < 0.9)
+                            // arrives a little later than it was sent
+                            if (nodes[k].book->grant(n.as, length,
+                                                     clock(nodes[k], t + real(0, 0.3))))
+                                n.own->promised(std::to_string(k), mine, length);
+                };
+                if (n.leader) {
+                    if (!n.own->valid(mine)) {
+                        n.leader = false;
+                        n.own->clear();
+                        continue;
+                    }
+                    if (real(0, 1) < 0.07) {
+                        gather(c::promise_s);
+                        if (state && key == n.as) {
+                            key_until = t + c::leader_lease_s;
+                            n.own->lease_renewed(mine, c::leader_lease_s);
+                        }
+                    }
+                } else if (state && key.empty() && real(0, 1) < 0.05) {
+                    n.as = std::to_string(i) + "#" + std::to_string(++stands);
+                    n.own->clear();
+                    gather(c::candidacy_s);
+                    double later = t + real(0, 0.4);
+                    if (n.own->majority(clock(n, later))) {
+                        key = n.as;
+                        key_until = t + c::leader_lease_s;
+                        n.own->lease_renewed(mine, c::leader_lease_s);
+                        n.leader = true;
+                        ++led;
+                    }
+                    n.busy_until = t + 0.4;
+                }
+            }
+            std::string who;
+            for (auto &n : nodes)
+                if (n.leader && n.own->valid(clock(n, t))) {
+                    ++valid;
+                    who = n.as;
+                }
+            ASSERT_LE(valid, 1) << "seed " << seed << " at " << t;
+            if (!who.empty() && who != last) {
+                if (!last.empty())
+                    ++handovers;
+                last = who;
+            }
+        }
+    }
+    EXPECT_GT(led, 100);
+    EXPECT_GT(handovers, 50);
+}
+
+// --- store ---
+
+TEST(budget, leaves_a_reserve_to_the_more_urgent) {
+    store::budget b(10);
+    double now = 0;
+    int rest = 0, accept = 0;
+    while (b.take(1, store::urgency::rest, now))
+        ++rest;
+    while (b.take(1, store::urgency::accept, now))
+        ++accept;
+    EXPECT_LT(rest, 8);
+    EXPECT_GT(accept, 0);
+    EXPECT_FALSE(b.take(1, store::urgency::accept, now));
+    EXPECT_TRUE(b.take(1, store::urgency::accept, now + 1));
+}
+
+TEST(group_commit, keeps_limits_order_of_urgency_and_apart_what_touches_one_key) {
+    std::deque<store::unit> waiting;
+    auto add = [&](store::urgency u, std::vector<std::string> keys) {
+        store::unit x;
+        x.rank = u;
+        for (auto &k : keys)
+            x.ops.push_back({k, "1", 0});
+        waiting.push_back(std::move(x));
+    };
+    add(store::urgency::rest, {"a", "b"});
+    add(store::urgency::cancel, {"c"});
+    add(store::urgency::done, {"c"});
+    add(store::urgency::done, {"d", "e"});
+    auto chosen = store::choose_units(waiting, 4, 10000);
+    EXPECT_EQ(chosen, (std::vector<std::size_t>{1, 3})) << "c twice never; a and b do not fit";
+}
+
+// --- bidding and fairness ---
+
+TEST(bids, are_queue_plus_fetch_plus_run) {
+    workers::machine m;
+    m.type = test::small_types()[0];
+    m.speed = 0.5;
+    auto s = test::small_job("job-1");
+    bidding::room whole{4, 0, 16}, full{0, 0, 0};
+    auto idle = bidding::make_bid(m, s, whole, whole, 0, 0, 30, false, 0);
+    EXPECT_DOUBLE_EQ(idle.finish_s(), 1 / 0.5 + 30 / 0.5);
+    m.images["img"] = 0;
+    EXPECT_DOUBLE_EQ(bidding::make_bid(m, s, whole, whole, 0, 0, 30, false, 0).fetch_s, 0);
+    auto busy = bidding::make_bid(m, s, full, whole, 40, 0, 30, false, 0);
+    EXPECT_DOUBLE_EQ(busy.queued_s, 40);
+    bidding::room twice{8, 0, 32};
+    EXPECT_DOUBLE_EQ(bidding::make_bid(m, s, full, twice, 40, 0, 30, false, 0).queued_s, 20);
+}
+
+TEST(bids, estimates_learn_a_class) {
+    bidding::estimates e;
+    auto s = test::small_job("job-1");
+    for (int k = 0; k < 60; ++k)
+        e.measured("batch", 30, 15);
+    EXPECT_NEAR(e.expected_s(s), 15, 1);
+}
+
+TEST(fairness, limits_and_shares) {
+    fairness::team_queues q(test::small_settings().teams);
+    auto s = test::small_job("job-1");
+    s.team = "red";
+    for (int k = 0; k < 3; ++k)
+        q.add("red", s);
+    EXPECT_TRUE(q.within_limit(s));
+    EXPECT_FALSE(q.within_guarantee(s));
+    q.add("red", s);
+    EXPECT_FALSE(q.within_limit(s));
+    EXPECT_DOUBLE_EQ(q.share_used("red"), 2.0);
+    s.tasks = 5;
+    EXPECT_TRUE(q.can_ever_run(s));
+    s.shape = job_shape::service;
+    EXPECT_FALSE(q.can_ever_run(s));
+    s.team = "green";
+    EXPECT_FALSE(q.can_ever_run(s));
+}
+
+TEST(machines, keep_the_most_recent_images_that_fit) {
+    workers::machine m;
+    m.type.cache_gb = 10;
+    m.use_image("a", 4, 1);
+    m.use_image("b", 4, 2);
+    m.use_image("a", 4, 3);
+    m.use_image("c", 4, 4);
+    EXPECT_TRUE(m.images.count("a"));
+    EXPECT_FALSE(m.images.count("b"));
+    EXPECT_TRUE(m.images.count("c"));
+}
+
+TEST(jobs, a_hundred_thousand_tasks_are_ranges) {
+    catalog::job j;
+    j.spec = test::small_job("job-1");
+    j.spec.tasks = 100'000;
+    j.done.assign(100'000, false);
+    j.done[0] = true;
+    EXPECT_EQ(j.waiting(), 100'000u);
+    std::uint32_t i = 0;
+    ASSERT_TRUE(j.pop_waiting(i));
+    EXPECT_EQ(i, 1u);
+    j.push_back(1);
+    EXPECT_EQ(j.again.size(), 1u);
+    ASSERT_TRUE(j.pop_waiting(i));
+    EXPECT_EQ(i, 1u);
+}
--- /dev/null
+++ b/tests/world_test.cpp
@@ -0,0 +1,560 @@
+// A randomized run of the engine against stand-ins for workers, cloud and state service, in
+// simulated time: late delivery, lost and repeated messages, machines that hang, die or are taken,
+// leaders that follow one another at any step. Every rule is checked as an invariant.
+#include "constants.hpp"
+#include "trace_runner.hpp"
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <fmt/format.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <queue>
+
+using namespace spindlecroft;
+
+namespace {
+
+struct task_here {
+    std::uint64_t attempt = 0;
+    task_state state = task_state::fetching;
+    exit_cause cause = exit_cause::none;
+    double until = 0;
+};
+
+struct worker {
+    std::string name, type, zone;
+    bool spot = false, alive = true;
+    double up_at = 0, hang_until = 0;
+    std::uint64_t session = 1, seq = 0, token = 0;
+    double lease_from = 0, next_report = 0;
+    bool reporting = false;
+    std::map<std::pair<std::string, std::uint32_t>, task_here> tasks;
+    bool faulty = false;
+};
+
+struct record {
+    wire::job_record job;
+    std::uint64_t version = 0;
+    double cancelled_at = -1;
+};
+
+struct world {
+    explicit world(unsigned seed) : random(seed) {}
+
+    boost::random::mt19937 random;
+    settings::settings conf = test::small_settings();
+    std::vector<machine_type> types = test::small_types();
+    double now = 0;
+    struct event {
+        double at;
+        std::uint64_t order;
+        std::function<void()> what;
+        bool operator<(const event &o) const { return at != o.at ? at > o.at : order > o.order; }
+    };
+    std::priority_queue<event> events;
+    std::uint64_t order_count = 0;
+
+    // the state service
+    std::uint64_t revision = 10, leader_token = 0;
+    std::map<std::string, record> jobs;
+    std::map<std::string, job_stage> ended;
+    std::map<std::string, std::string> kv;
+    // the leader in office
+    std::shared_ptr<control::engine> core;
+    std::deque<control::durable_write> writing;
+    // the outside
+    std::map<std::string, worker> workers;
+    std::map<std::string, std::vector<std::string>> hires;
+    int machine_count = 0;
+    // what has happened
+    std::set<std::string> started; // task#attempt that ran on a worker
+    std::map<std::pair<std::string, std::uint32_t>, bool> completed;
+    std::vector<std::string> broken;
+    int starts = 0, leaders = 0;
+    bool calm = false;
+
+    double real(double a, double b) {
+        return boost::random::uniform_real_distribution<double>(a, b)(random);
+    }
+    int integer(int a, int b) { return boost::random::uniform_int_distribution<int>(a, b)(random); }
+    bool chance(double p) { return !calm && real(0, 1) < p; }
+    void at(double t, std::function<void()> f) { events.push({t, order_count++, std::move(f)}); }
+    void breaks(const std::string &what) { broken.push_back(fmt::format("{:.2f}: {}", now, what)); }
+    double delay() { return chance(0.03) ? real(1, 60) : real(0.001, 0.2); }
+
+    const job_spec *spec(const std::string &job) {
+        auto i = jobs.find(job);
+        return i == jobs.end() ? nullptr : &i->second.job.spec;
+    }
+
+    // --- workers, by the page that describes them ---
+    std::map<std::string, job_spec> uploaded;
+
+    void check_start(worker &w, const std::string &job, std::uint32_t index,
+                     std::uint64_t attempt) {
+        ++starts;
+        auto &s = uploaded.at(job);
+        auto key = std::make_pair(job, index);
+        for (auto &[n, other] : workers)
+            if (other.alive && n != w.name && now - other.lease_from <= conf.lease_s)
+                if (auto t = other.tasks.find(key);
+                    t != other.tasks.end() && t->second.state != task_state::exited)
+                    breaks(fmt::format("ran_twice {}/{} on {} and {}", job, index, w.name, n));
+        if (!started.insert(fmt::format("{}/{}#{}", job, index, attempt)).second)
+            breaks(fmt::format("attempt {} of {}/{} started anew", attempt, job, index));
+        double cpus = 0;
+        int here = 0;
+        for (auto &[n, other] : workers)
+            if (other.alive && now - other.lease_from <= conf.lease_s)
+                for (auto &[k, t] : other.tasks)
+                    if (t.state != task_state::exited) {
+                        if (uploaded.at(k.first).team == s.team)
+                            cpus += uploaded.at(k.first).cpus;
+                        if (k.first == job && other.zone == w.zone)
+                            ++here;
+                    }
+        auto *team = conf.find_team(s.team);
+        if (team->cpus_max > 0 && cpus > team->cpus_max + 1e-6)
+            breaks(fmt::format("quota of {}: {}", s.team, cpus));
+        if (s.spread && here > static_cast<int>((s.tasks + 1) / 2))
+            breaks(fmt::format("wrong_place: {} of {} in one zone", here, job));
+        if (w.spot && !s.spot)
+            breaks("wrong_place: spot");
+        if (auto j = jobs.find(job); j != jobs.end() && j->second.cancelled_at >= 0 &&
+                                     now > j->second.cancelled_at + conf.cancel_s)
+            breaks("ran_cancelled: start of " + job);
+    }
+
+    void execute(worker &w, const std::vector<order> &orders) {
+        for (auto &o : orders) {
+            auto key = std::make_pair(o.job, o.index);
+            auto t = w.tasks.find(key);
+            if (o.kind == order_kind::forget) {
+                if (t != w.tasks.end() && t->second.attempt == o.attempt &&
+                    t->second.state == task_state::exited)
+                    w.tasks.erase(t);
+            } else if (o.kind == order_kind::stop) {
+                if (t != w.tasks.end() && t->second.attempt == o.attempt &&
+                    t->second.state != task_state::exited) {
+                    t->second.state = task_state::exited;
+                    t->second.cause = exit_cause::stopped;
+                }
+            } else {
+                if (t != w.tasks.end()) {
+                    if (t->second.attempt == o.attempt)
+                        continue;
+                    if (t->second.state != task_state::exited)
+                        continue; // busy
+                }
+                double cpus = 0, size = w.type == "small" ? 4 : 16;
+                for (auto &[k, x] : w.tasks)
+                    if (x.state != task_state::exited)
+                        cpus += uploaded.at(k.first).cpus;
+                task_here x;
+                x.attempt = o.attempt;
+                if (cpus + uploaded.at(o.job).cpus > size + 1e-9) {
+                    x.state = task_state::exited;
+                    x.cause = exit_cause::no_room;
+                } else {
+                    check_start(w, o.job, o.index, o.attempt);
+                    x.state = task_state::running;
+                    x.until =
+                        now + (uploaded.at(o.job).shape == job_shape::service ? 1e9 : real(3, 25));
+                    if (w.faulty && !calm) {
+                        x.until = now + 0.5;
+                        x.cause = exit_cause::error;
+                    }
+                }
+                w.tasks[key] = x;
+            }
+        }
+    }
+
+    worker_report message(worker &w) {
+        worker_report r;
+        r.machine = w.name;
+        r.address = "10.0.0.1:1";
+        r.type = w.type;
+        r.zone = w.zone;
+        r.spot = w.spot;
+        r.session = w.session;
+        r.seq = ++w.seq;
+        r.token = w.token;
+        for (auto &[k, t] : w.tasks)
+            r.tasks.push_back({k.first, k.second, t.attempt, t.state, t.cause, false});
+        return r;
+    }
+
+    void work(worker &w) {
+        if (!w.alive || now < w.up_at || now < w.hang_until)
+            return;
+        if (now - w.lease_from > conf.lease_s) {
+            w.tasks.clear();
+            ++w.session;
+            w.lease_from = now;
+            w.reporting = false;
+        }
+        for (auto &[k, t] : w.tasks)
+            if (t.state == task_state::running && now >= t.until) {
+                t.state = task_state::exited;
+                if (t.cause == exit_cause::none) {
+                    t.cause = exit_cause::done;
+                    completed[k] = true;
+                }
+                w.next_report = std::min(w.next_report, now);
+            }
+        if (!w.reporting && now >= w.next_report)
+            send_report(w);
+    }
+
+    void send_report(worker &w) {
+        w.reporting = true;
+        auto name = w.name;
+        auto r = message(w);
+        double sent = now;
+        auto session = w.session;
+        at(now + 4, [this, name, session, sent] { finish(name, session, sent, {}, 0, false); });
+        if (chance(0.02))
+            return;
+        double arrives = now + delay();
+        at(arrives, [this, name, session, sent, r] {
+            if (!core || now > sent + 30)
+                return;
+            auto leader = core;
+            auto age = leader->on_report(r, now);
+            if (age == control::engine::report_age::dead)
+                return;
+            auto orders = leader->orders_in_answer(name, now);
+            auto token = leader->token();
+            leader->answered(name, now);
+            if (chance(0.02))
+                return;
+            double back = now + delay();
+            if (back < sent + 4)
+                at(back, [this, name, session, sent, orders, token] {
+                    finish(name, session, sent, orders, token, true);
+                });
+        });
+    }
+
+    void finish(const std::string &name, std::uint64_t session, double sent,
+                const std::vector<order> &orders, std::uint64_t token, bool answered) {
+        auto i = workers.find(name);
+        if (i == workers.end() || !i->second.alive)
+            return;
+        auto &w = i->second;
+        if (!w.reporting || w.session != session || sent < w.next_report - 3.9)
+            return;
+        if (now < w.hang_until)
+            return;
+        w.reporting = false;
+        w.next_report = now + real(2.2, 3.7);
+        if (!answered || token < w.token)
+            return;
+        w.token = token;
+        w.lease_from = std::max(w.lease_from, sent);
+        execute(w, orders);
+        if (!orders.empty())
+            w.next_report = now + 0.5;
+    }
+
+    // --- the leader's surroundings ---
+    void command(const std::string &name) {
+        auto leader = core;
+        auto *m = leader->find_machine(name);
+        if (!m)
+            return;
+        auto session = m->session;
+        auto orders = leader->orders_in_command(name, now);
+        if (orders.empty())
+            return;
+        bool starts_in = false;
+        for (auto &o : orders)
+            starts_in = starts_in || o.kind == order_kind::start;
+        auto token = leader->token();
+        auto answered = std::make_shared<bool>(false);
+        at(now + 2.5, [this, leader, name, token, session, answered, starts_in] {
+            if (!*answered && starts_in && leader == core)
+                leader->command_unresolved(name, token, session);
+            *answered = true;
+        });
+        auto arrive = std::make_shared<std::function<void()>>();
+        *arrive = [this, leader, name, session, token, orders, answered, starts_in, arrive] {
+            auto i = workers.find(name);
+            if (i == workers.end() || !i->second.alive)
+                return;
+            auto &w = i->second;
+            if (now < w.hang_until) {
+                at(w.hang_until + 0.01, *arrive); // a hanging machine takes it up afterwards
+                return;
+            }
+            work(w);
+            if (token >= w.token && session == w.session) {
+                w.token = token;
+                execute(w, orders);
+            }
+            auto r = message(w);
+            if (chance(0.1))
+                return;
+            at(now + delay(), [this, leader, name, r, answered, starts_in] {
+                if (*answered || leader != core)
+                    return;
+                *answered = true;
+                if (starts_in)
+                    leader->command_resolved(name);
+                leader->on_report(r, now);
+            });
+        };
+        at(now + (chance(0.15) ? real(1, 40) : delay()), *arrive);
+    }
+
+    void apply_write(std::shared_ptr<control::engine> leader, const control::durable_write &w) {
+        bool fenced = leader == core; // a raise of the token is no change of leader
+        if (!fenced)
+            return;
+        bool ok = true;
+        for (auto &c : w.when) {
+            auto j = jobs.find(c.key.substr(4));
+            if (j == jobs.end() || j->second.version != c.version)
+                ok = false;
+        }
+        if (ok) {
+            ++revision;
+            for (auto &o : w.ops) {
+                if (o.key.rfind("j/a/", 0) == 0) {
+                    jobs.erase(o.key.substr(4));
+                } else if (o.key.rfind("j/e/", 0) == 0) {
+                    auto e = wire::parse_ended(o.value);
+                    auto id = o.key.substr(4);
+                    ended[id] = e.stage;
+                    if (e.stage == job_stage::done)
+                        for (std::uint32_t k = 0; k < uploaded.at(id).tasks; ++k)
+                            if (!completed[{id, k}])
+                                breaks("not_done: " + id);
+                } else if (o.value.empty()) {
+                    kv.erase(o.key);
+                } else {
+                    kv[o.key] = o.value;
+                }
+            }
+        }
+        if (!chance(0.02) || ok)
+            leader->on_written(w, ok, revision, now);
+    }
+
+    void elect() {
+        ++leaders;
+        leader_token = ++revision;
+        core = std::make_shared<control::engine>(conf, types);
+        core->begin(now, leader_token, 0);
+        for (auto &[id, r] : jobs)
+            core->load_job(id, r.job, r.version, now);
+        for (int pass = 0; pass < 2; ++pass) // done records before placements
+            for (auto &[key, value] : kv) {
+                auto slash = key.rfind('/');
+                auto job = key.substr(2, slash - 2);
+                if (pass == 0 && key[0] == 'd')
+                    core->load_done(job, static_cast<unsigned>(std::stoul(key.substr(slash + 1))),
+                                    wire::parse_done_bits(value));
+                if (pass == 1 && key[0] == 'p')
+                    core->load_placed(job, static_cast<unsigned>(std::stoul(key.substr(slash + 1))),
+                                      wire::parse_placed(value), now);
+                if (pass == 1 && key[0] == 'm')
+                    core->load_rental(wire::parse_rental_record(value), now);
+            }
+        core->loaded(now);
+    }
+
+    void lead() {
+        core->tick(now);
+        auto leader = core;
+        double t = now + real(0.01, 0.1) + (chance(0.02) ? 2 : 0);
+        for (auto &w : core->take_writes(now))
+            at(t, [this, leader, w] { apply_write(leader, w); });
+        for (auto &n : core->take_urgent())
+            command(n);
+        for (auto &r : core->take_rentals(now))
+            at(now + delay(), [this, leader, r] {
+                if (!hires.count(r.request))
+                    for (int k = 0; k < r.count; ++k) {
+                        worker w;
+                        w.name = fmt::format("i-{:04}", ++machine_count);
+                        w.type = r.type;
+                        w.zone = r.zone;
+                        w.spot = r.spot;
+                        w.up_at = now + real(1, 40);
+                        w.lease_from = w.up_at;
+                        w.faulty = chance(0.05);
+                        hires[r.request].push_back(w.name);
+                        workers[w.name] = w;
+                    }
+                if (leader == core) {
+                    if (chance(0.2))
+                        leader->on_rent_unsure(r.request, now);
+                    else
+                        leader->on_rented(r.request, hires[r.request], now);
+                }
+            });
+        if (auto names = core->take_deletions(now); !names.empty())
+            at(now + delay(), [this, leader, names] {
+                for (auto &n : names)
+                    if (auto i = workers.find(n); i != workers.end())
+                        i->second.alive = false;
+                if (leader == core) {
+                    if (chance(0.2))
+                        leader->on_delete_failed(names);
+                    else
+                        leader->on_deleted(names, now);
+                }
+            });
+        if (core->wants_token_raise(now)) {
+            leader_token = ++revision;
+            core->on_token(leader_token);
+        }
+    }
+
+    void submit(int n) {
+        wire::job_record r;
+        r.accepted_at = now;
+        r.spec = test::small_job(fmt::format("job-{}", n));
+        r.spec.team = chance(0.5) ? "red" : "blue";
+        r.spec.tasks = static_cast<std::uint32_t>(integer(1, 6));
+        r.spec.cpus = integer(1, 2) * 2;
+        r.spec.estimate_s = real(5, 30);
+        if (chance(0.25)) {
+            r.spec.shape = job_shape::service;
+            r.spec.rank = priority::critical;
+            r.spec.spot = false;
+            r.spec.spread = true;
+            r.spec.tasks = static_cast<std::uint32_t>(integer(1, 3));
+            r.spec.cpus = 2;
+        }
+        uploaded[r.spec.id] = r.spec;
+        jobs[r.spec.id] = {r, ++revision, -1};
+        tell(r.spec.id);
+    }
+
+    void tell(std::string id) {
+        auto leader = core;
+        at(now + real(0.01, 0.3), [this, leader, id] {
+            if (auto j = jobs.find(id); j != jobs.end() && leader && leader == core)
+                leader->on_job(id, j->second.job, j->second.version, now);
+        });
+    }
+
+    void cancel(const std::string &id) {
+        auto j = jobs.find(id);
+        if (j == jobs.end() || j->second.job.cancelled)
+            return;
+        j->second.job.cancelled = true;
+        j->second.version = ++revision;
+        j->second.cancelled_at = now;
+        tell(id);
+    }
+
+    void check_cancelled() {
+        for (auto &[n, w] : workers)
+            if (w.alive && now >= w.up_at)
+                for (auto &[k, t] : w.tasks)
+                    if (t.state != task_state::exited)
+                        if (auto j = jobs.find(k.first);
+                            j != jobs.end() && j->second.cancelled_at >= 0 &&
+                            now > j->second.cancelled_at + conf.cancel_s && now >= w.hang_until &&
+                            now - w.lease_from <= conf.lease_s)
+                            breaks("ran_cancelled: " + k.first);
+    }
+
+    std::string describe(const std::string &id) {
+        auto *j = core ? core->find_job(id) : nullptr;
+        if (!j)
+            return id + " unknown to the leader";
+        auto out = fmt::format("{} cancelled {} waiting {} queued {} done {} of {}; {}", id,
+                               j->cancelled, j->waiting(), j->queued.size(), j->done_seen,
+                               j->spec.tasks, core->summary());
+        for (auto &[i, a] : j->live)
+            out += fmt::format("; {} on {} phase {}", i, a.machine, static_cast<int>(a.phase));
+        for (auto &[n, m] : core->machines())
+            out += fmt::format("\n  {} {} {} up {} usable {} heard {:.0f} s ago", n, m.type.name,
+                               m.spot, m.up, m.usable(), now - m.heard_at);
+        return out;
+    }
+
+    void run(double length) {
+        elect();
+        int n = 0;
+        double next_job = 0, next_list = 5;
+        for (now = 0; now < length; now += 0.05) {
+            if (!calm && now > length * 0.6) {
+                // From here on nothing fails, and no service holds a team's limit for ever.
+                calm = true;
+                std::vector<std::string> services;
+                for (auto &[id, r] : jobs)
+                    if (r.job.spec.shape == job_shape::service)
+                        services.push_back(id);
+                for (auto &id : services)
+                    cancel(id);
+            }
+            while (!events.empty() && events.top().at <= now) {
+                auto e = events.top();
+                events.pop();
+                e.what();
+            }
+            if (now >= next_job && !calm) {
+                next_job = now + real(2, 12);
+                submit(++n);
+            }
+            if (chance(0.0015) && n > 0)
+                cancel(fmt::format("job-{}", integer(1, n)));
+            if (chance(0.0008)) {
+                core.reset();
+                double back = now + real(0.1, 8);
+                at(back, [this] {
+                    if (!core)
+                        elect();
+                });
+            }
+            for (auto &[name, w] : workers) {
+                if (chance(0.00004))
+                    w.alive = false;
+                if (chance(0.0001))
+                    w.hang_until = now + real(1, 40);
+                work(w);
+            }
+            if (core) {
+                lead();
+                if (now >= next_list) {
+                    next_list = now + 5;
+                    std::vector<host> hosts;
+                    for (auto &[name, w] : workers)
+                        if (w.alive)
+                            hosts.push_back(
+                                {name, "10.0.0.1:1", w.type, w.zone, w.spot,
+                                 now >= w.up_at ? host::stage::running : host::stage::booting, 1});
+                    core->on_hosts(hosts, now, now);
+                }
+            }
+            if (!calm)
+                check_cancelled();
+        }
+    }
+};
+
+} // namespace
+
+class random_world : public testing::TestWithParam<unsigned> {};
+
+TEST_P(random_world, keeps_every_rule_and_finishes) {
+    world w(GetParam());
+    w.run(800);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.size() << " broken, first: " << w.broken.front();
+    EXPECT_GT(w.starts, 50);
+    EXPECT_GT(w.leaders, 1);
+    std::vector<std::string> unfinished;
+    for (auto &[id, r] : w.jobs)
+        if (r.job.cancelled || r.job.spec.shape == job_shape::array)
+            unfinished.push_back(id);
+    EXPECT_TRUE(unfinished.empty()) << "unfinished: " << w.describe(unfinished.front());
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, random_world, testing::Range(1u, 31u));
