--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include "bidding/bid.hpp"
 #include "catalog/job.hpp"
+#include "fairness/team_order.hpp"
 #include "fairness/team_queues.hpp"
 #include "settings/settings.hpp"
 #include "wire/codec.hpp"
@@ -180,6 +181,7 @@
     bool type_allowed(const job_spec &s, const std::string &type) const;
     bool rules_allow(const job_t &j, const machine_t &m) const;
     double expected_s(const job_t &j) const;
+    fairness::waiting_job urgency_of(const job_t &j, double now) const;
     void end_if_complete(job_t &j);
     durable_write end_write(job_t &j);
 
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -1,6 +1,7 @@
 // Bids, worker queues and starts.
 #include "constants.hpp"
 #include "control/bidder.hpp"
+#include "fairness/team_order.hpp"
 #include <algorithm>
 #include <spdlog/spdlog.h>
 
@@ -211,6 +212,29 @@
             unqueue(m);
 }
 
+fairness::waiting_job engine::urgency_of(const job_t &j, double now) const {
+    fairness::waiting_job w;
+    double expected = expected_s(j);
+    // Without a deadline of its own: what is aimed at for its class.
+    double due = j.spec.deadline_s.value_or(0);
+    if (due <= 0)
+        for (auto &o : settings_.objectives)
+            if (o.job_class == j.spec.job_class && o.within_s > 0) {
+                double d = o.kind == "wait" ? o.within_s + expected : o.within_s;
+                due = due > 0 ? std::min(due, d) : d;
+            }
+    if (due <= 0)
+        due = c::default_due_s;
+    w.due_in_s = j.accepted_at + due - now;
+    w.longest_s = expected;
+    w.work_s = expected * (j.waiting() + static_cast<double>(j.queued.size()));
+    for (auto &[i, a] : j.live)
+        if (a.holds_room())
+            w.work_s += std::max(0.2 * a.estimate_s,
+                                 a.estimate_s - (a.running_since >= 0 ? now - a.running_since : 0));
+    return w;
+}
+
 void engine::plan_bids(double now) {
     rebid(now);
     count_usage();
@@ -224,10 +248,23 @@
         for (auto &[id, j] : jobs_)
             if (j.spec.rank == rank && j.waiting() > 0 && now >= j.backoff_until)
                 teams[j.spec.team].push_back({&j});
-        for (auto &[name, list] : teams)
-            std::stable_sort(list.begin(), list.end(), [](auto &a, auto &b) {
-                return a.job->accepted_at < b.job->accepted_at;
-            });
+        for (auto &[name, list] : teams) {
+            if (list.size() < 2)
+                continue;
+            std::vector<fairness::waiting_job> waiting;
+            double slots = 0, limit = 1e9;
+            auto &first = list.front().job->spec;
+            if (auto *t = teams_.find(name); t && t->cpus_max > 0 && first.cpus > 0)
+                limit = t->cpus_max / first.cpus;
+            for (auto &b : bidders)
+                slots += b.whole.slots(first);
+            for (auto &x : list)
+                waiting.push_back(urgency_of(*x.job, now));
+            std::vector<candidate> sorted;
+            for (auto i : fairness::serving_order(waiting, std::min(slots, limit)))
+                sorted.push_back(list[i]);
+            list = std::move(sorted);
+        }
         while (!teams.empty()) {
             // Turn by shares: first whoever is within its guarantee, then who uses least for it.
             auto next = teams.end();
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -425,3 +425,13 @@
     ASSERT_TRUE(j.pop_waiting(i));
     EXPECT_EQ(i, 1u);
 }
+
+TEST(fairness, the_largest_gives_way_when_not_all_can_be_in_time) {
+    // Two slots; three jobs due in 20 s, of 40, 10 and 10 s of work: one of 40 would cost the
+    // others.
+    std::vector<fairness::waiting_job> jobs = {{20, 40, 5}, {20, 10, 5}, {20, 10, 5}, {3, 1, 5}};
+    EXPECT_EQ(fairness::serving_order(jobs, 2), (std::vector<std::size_t>{1, 2, 3, 0}));
+    // Enough for all: by due time.
+    EXPECT_EQ(fairness::serving_order({{50, 10, 5}, {20, 10, 5}}, 2),
+              (std::vector<std::size_t>{1, 0}));
+}
