--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -191,8 +191,12 @@
     for (auto &[name, k] : kinds) {
         auto &s = *k.spec;
         double average = k.work_s / k.tasks;
-        double need =
-            std::min(k.tasks, std::ceil(k.work_s / (settings_.ops.drain_target_s + average)));
+        auto slots_for = [&, tasks = k.tasks, work = k.work_s](double target) {
+            return std::min(tasks, std::ceil(work / (target + average)));
+        };
+        double need = slots_for(settings_.ops.drain_target_s);
+        // Work that may use spot machines waits longer before ordinary ones are paid for.
+        double spare_wait = need - slots_for(settings_.ops.drain_target_s * c::ordinary_patience);
         for (auto &b : fleet)
             while (need > 0 && type_allowed(s, b.type.name) && (!s.zone || *s.zone == b.zone) &&
                    (!b.spot || s.spot) && b.whole.fits(s)) {
@@ -203,8 +207,11 @@
             std::optional<rental_offer> offer;
             if (s.spot && settings_.ops.spot)
                 offer = cheapest_offer(s, true, nullptr, now);
-            if (!offer)
+            if (!offer) {
+                if (s.spot && settings_.ops.spot && need <= spare_wait)
+                    break;
                 offer = cheapest_offer(s, false, nullptr, now);
+            }
             if (!offer)
                 break;
             rent(*offer, 1, now);
