--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -258,6 +258,8 @@
     auto i = j.live.find(index);
     if (i == j.live.end())
         return;
+    if (again && !j.over())
+        spdlog::debug("{}/{} is no longer on {}", j.spec.id, index, i->second.machine);
     auto m = machines_.find(i->second.machine);
     if (m != machines_.end())
         m->second.attempts.erase(i->second.task);
@@ -388,6 +390,10 @@
         if (a->phase != attempt_phase::running) {
             a->running_since = now;
             dirty_ = true;
+            spdlog::debug("{}/{} runs on {} ({} {}) {:.1f} s after it was accepted, {:.1f} s after "
+                          "its placement",
+                          t.job, t.index, m.name, m.type.name, m.zone, now - j->accepted_at,
+                          now - a->created_at);
         }
         a->phase = attempt_phase::running;
         m.use_image(j->spec.image, j->spec.image_gb, now);
