--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -982,12 +982,13 @@
     for (auto &[request, s] : rentals_) {
         if (!s.dirty || s.busy)
             continue;
-        bool all_gone = s.answered;
+        // Names of machines that are gone are struck out: the next leader would take them for
+        // machines that are still booting, and queue work for them.
+        auto before = s.record.machines.size();
         if (s.answered)
-            for (auto &name : s.record.machines)
-                if (machines_.count(name))
-                    all_gone = false;
-        if (s.names_written && !all_gone) {
+            std::erase_if(s.record.machines, [&](auto &n) { return !machines_.count(n); });
+        bool all_gone = s.answered && s.record.machines.empty();
+        if (s.names_written && !all_gone && s.record.machines.size() == before) {
             s.dirty = false;
             continue;
         }
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -148,6 +148,8 @@
     void drop_attempt(job_t &j, std::uint32_t index, bool again);
     void stop_attempt(attempt_t &a, double grace_s, double now);
     void cancel_job(job_t &j, double now);
+    // Work that saves may do so before it makes room; other work would only lose the time.
+    static double grace_of(const job_spec &s) { return s.checkpoint_s > 0 ? s.save_s : 0; }
     void clear_machine(machine_t &m, bool gone, double now);
     void remove_machine(const std::string &name, double now);
     void unqueue(machine_t &m);
@@ -162,6 +164,7 @@
     void plan_bids(double now);
     void start_queued(machine_t &m, double now);
     bool bid_once(job_t &j, std::vector<bidder> &bidders, double now);
+    bidder *make_way(const job_t &j, std::vector<bidder> &bidders, double now);
     std::vector<bidder> make_bidders(double now);
     // For how long a machine that has not reported can be called booting. After a takeover even
     // machines that are up have not reported yet.
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -139,7 +139,7 @@
     auto &s = j.spec;
     double expected = expected_s(j);
     bidder *best = nullptr;
-    double best_finish = 0;
+    double best_finish = 0, best_queued = 0;
     bool critical = s.rank == priority::critical;
     for (auto &b : bidders) {
         if (!b.m || now < b.m->refused_until)
@@ -172,8 +172,15 @@
         if (!best || finish < best_finish) {
             best = &b;
             best_finish = finish;
+            best_queued = preempting ? 0 : offer.queued_s;
         }
     }
+    bool first = false;
+    if ((!best || best_queued > c::guarantee_wait_s) && teams_.within_guarantee(s))
+        if (auto *b = make_way(j, bidders, now)) {
+            best = b;
+            first = true;
+        }
     if (!best)
         return false;
     std::uint32_t index = 0;
@@ -182,8 +189,10 @@
     double estimate = expected / std::max(best->m->speed, c::speed_floor);
     workers::queued_task t{{s.id, index}, s.rank, estimate};
     auto &q = best->m->queue;
-    // First in, first out among equals; higher rank goes before.
-    auto at = std::find_if(q.begin(), q.end(), [&](auto &x) { return x.rank > s.rank; });
+    // First in, first out among equals; higher rank goes before, and so does work for which others
+    // were stopped.
+    auto at = std::find_if(q.begin(), q.end(),
+                           [&](auto &x) { return first ? x.rank >= s.rank : x.rank > s.rank; });
     q.insert(at, t);
     j.queued[index] = best->name;
     best->hold(s, estimate);
@@ -193,6 +202,46 @@
     return true;
 }
 
+// A team's guaranteed work finds no room soon: the latest work that another team runs beyond its
+// own guarantee is stopped for it (PROTOCOL, "Preemption").
+engine::bidder *engine::make_way(const job_t &j, std::vector<bidder> &bidders, double now) {
+    auto &s = j.spec;
+    std::map<std::string, double> stopping; // cpus of each team that are about to be free
+    for (auto &[id, other] : jobs_)
+        for (auto &[i, a] : other.live)
+            if (a.stop_wanted && a.holds_room())
+                stopping[other.spec.team] += other.spec.cpus;
+    bidder *at = nullptr;
+    attempt_t *victim = nullptr;
+    for (auto &b : bidders) {
+        if (!b.m || !b.m->up || now < b.m->refused_until || j.failed_on.count(b.name) ||
+            !rules_allow(j, *b.m))
+            continue;
+        for (auto &ref : b.m->attempts) {
+            auto *other = job_of(ref.job);
+            if (!other || other->spec.team == s.team || other->spec.shape != job_shape::array ||
+                !other->live.count(ref.index))
+                continue;
+            auto &a = other->live[ref.index];
+            auto &o = other->spec;
+            if (!a.present() || a.stop_wanted || o.cpus < s.cpus || o.gpus < s.gpus ||
+                o.memory_gb < s.memory_gb)
+                continue;
+            auto *team = teams_.find(o.team);
+            double beyond = teams_.used(o.team).cpus - stopping[o.team] - (team ? team->cpus : 0);
+            if (beyond < o.cpus)
+                continue;
+            if (!victim || a.created_at > victim->created_at) {
+                victim = &a;
+                at = &b;
+            }
+        }
+    }
+    if (victim)
+        stop_attempt(*victim, grace_of(job_of(victim->task.job)->spec), now);
+    return at;
+}
+
 // A machine stood idle while tasks wait in queues elsewhere: those are bid again.
 void engine::rebid(double now) {
     if (now - last_rebid_ < c::idle_rebid_s)
@@ -335,7 +384,7 @@
             }
             if (sum.fits(j->spec))
                 for (auto *a : victims)
-                    stop_attempt(*a, 0, now);
+                    stop_attempt(*a, grace_of(job_of(a->task.job)->spec), now);
             return;
         }
         m.queue.pop_front();
