--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -92,6 +92,8 @@
 inline constexpr int errors_to_quarantine = 2;     // jobs that failed in a row on one machine
 inline constexpr double job_backoff_s = 5.0; // s; first pause of a job whose tasks fail; doubles
 inline constexpr double job_backoff_max_s = 60.0; // s; longest such pause
+inline constexpr double spoilt_slot_s =
+    0.4; // s; added to a replica's bid for each array task it displaces
 inline constexpr double guarantee_wait_s =
     6.0; // s; guaranteed work that would wait longer stops others
 inline constexpr double default_due_s =
--- a/src/control/bidder.hpp
+++ b/src/control/bidder.hpp
@@ -15,8 +15,7 @@
     double work_s = 0;      // remaining and queued run time of that work
     double boot_s = 0;      // until it is up
     int fetches = 0;
-    std::set<std::string> coming;        // images being fetched
-    std::map<std::string, int> replicas; // by class
+    std::set<std::string> coming; // images being fetched
     void hold(const job_spec &s, double remaining_s);
 };
 
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -108,6 +108,8 @@
         services_seen_[kept.spec.job_class] = kept.spec;
         services_at_[kept.spec.job_class] = now;
     }
+    if (kept.spec.shape == job_shape::array)
+        typical_ = kept.spec;
     if (r.cancelled)
         cancel_job(kept, now);
 }
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -164,6 +164,8 @@
     void plan_bids(double now);
     void start_queued(machine_t &m, double now);
     bool bid_once(job_t &j, std::vector<bidder> &bidders, double now);
+    // Tasks of the latest array for which such a replica would take the room.
+    int spoilt_slots(const bidder &b, const job_spec &s) const;
     bidder *make_way(const job_t &j, std::vector<bidder> &bidders, double now);
     std::vector<bidder> make_bidders(double now);
     // For how long a machine that has not reported can be called booting. After a takeover even
@@ -201,6 +203,7 @@
     std::set<std::string> urgent_;
     std::map<std::string, job_spec> services_seen_; // largest recent replica of each class
     std::map<std::string, double> services_at_;
+    std::optional<job_spec> typical_; // the latest array
 
     std::uint64_t token_ = 0, first_token_ = 0;
     std::uint64_t counter_ = 0;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -129,7 +129,9 @@
             bidder *best = nullptr;
             for (auto &b : fleet)
                 if (fits_on(b, s) &&
-                    (!best || (s.spread && per_zone[b.zone] < per_zone[best->zone])))
+                    (!best || (s.spread && per_zone[b.zone] < per_zone[best->zone]) ||
+                     ((!s.spread || per_zone[b.zone] == per_zone[best->zone]) &&
+                      spoilt_slots(b, s) < spoilt_slots(*best, s))))
                     best = &b;
             if (best) {
                 best->hold(s, 0);
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -14,7 +14,6 @@
     free.take(s);
     if (s.shape == job_shape::service) {
         whole.take(s);
-        ++replicas[s.job_class];
     } else {
         work_s += remaining_s;
     }
@@ -135,6 +134,14 @@
     return out;
 }
 
+int engine::spoilt_slots(const bidder &b, const job_spec &s) const {
+    if (!typical_)
+        return 0;
+    auto after = b.whole;
+    after.take(s);
+    return b.whole.slots(*typical_) - after.slots(*typical_);
+}
+
 bool engine::bid_once(job_t &j, std::vector<bidder> &bidders, double now) {
     auto &s = j.spec;
     double expected = expected_s(j);
@@ -165,10 +172,9 @@
         double finish = offer.finish_s();
         if (preempting)
             finish += c::preempt_cost_s;
-        // Between equals, replicas of a class keep apart, so that one machine's end costs few.
+        // Between equals, a replica goes where it spoils least room for work that comes and goes.
         if (s.shape == job_shape::service)
-            if (auto r = b.replicas.find(s.job_class); r != b.replicas.end())
-                finish += 0.05 * r->second;
+            finish += c::spoilt_slot_s * spoilt_slots(b, s);
         if (!best || finish < best_finish) {
             best = &b;
             best_finish = finish;
