--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -74,6 +74,12 @@
     2.0; // s; added to it, a report may be retried at another node
 inline constexpr double silent_share =
     0.5; // above this share of silent machines we doubt ourselves
+inline constexpr double silent_zone_share =
+    0.7; // above this share of a zone's machines it is cut off
+inline constexpr double cut_patience_s =
+    30.0; // s; beyond their leases, silent machines of a cut zone are kept
+inline constexpr double cut_return_s =
+    10.0; // s; after a cut, the time for its machines to report again
 inline constexpr double token_bump_s = 6.0; // s; least time between two raises of the token
 inline constexpr double command_gap_s =
     0.05; // s; direct commands wait this long to share a request
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -23,7 +23,7 @@
     net::signal wake;
     bool over = false;
     std::set<std::string> commanding;
-    std::map<std::string, std::unique_ptr<net::client>> workers;
+    std::map<std::string, std::shared_ptr<net::client>> workers; // by address
 };
 
 static response error(int status, const std::string &what, int retry = 0) {
@@ -170,6 +170,14 @@
 
 awaitable<std::optional<std::optional<job_status>>> controller::current(std::string id) {
     using result = std::optional<std::optional<job_status>>;
+    // What has ended stays as it ended: no read is needed.
+    if (auto e = cache_.ended(id)) {
+        job_status s;
+        s.id = id;
+        s.stage = e->stage;
+        s.done = e->done;
+        co_return result(s);
+    }
     if (!co_await cache_.catch_up(1.5))
         co_return std::nullopt;
     job_status s;
@@ -571,6 +579,11 @@
             member_.want_raise();
         if (now > next_summary) {
             next_summary = now + 10;
+            // Connections to machines that are gone would use up the sockets.
+            std::set<std::string> known;
+            for (auto &[name, m] : core.machines())
+                known.insert(m.address);
+            std::erase_if(l->workers, [&](auto &w) { return !known.count(w.first); });
             spdlog::info("{}; {} writes waiting", core.summary(), l->commits.waiting());
         }
         co_await net::sleep_s(0.02);
@@ -695,11 +708,11 @@
     for (auto &o : orders)
         starts = starts || o.kind == order_kind::start;
     auto token = member_.token();
-    auto &client = l->workers[address];
+    auto client = l->workers[address];
     try {
         if (!client)
-            client =
-                std::make_unique<net::client>(io_, settings::parse_address(address, "address"), 1);
+            client = l->workers[address] =
+                std::make_shared<net::client>(io_, settings::parse_address(address, "address"), 1);
     } catch (const settings::settings_error &e) {
         spdlog::warn("{}: {}", machine, e.what());
         l->workers.erase(address);
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -302,6 +302,8 @@
         m.idle_since = now;
         dirty_ = true;
     }
+    if (new_session)
+        m.idle_since = now; // cut off until now, not idle
     m.strays.clear();
     std::set<catalog::task_ref> listed;
     for (auto &t : r.tasks) {
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -212,7 +212,8 @@
     bool ready_ = false;
     bool dirty_ = true;
     double last_plan_ = -1e9, last_fleet_ = -1e9, last_rebid_ = -1e9, last_raise_ = -1e9;
-    std::set<std::string> spare_; // machines kept as warm room
+    std::map<std::string, double> zone_doubt_until_; // s
+    std::set<std::string> spare_;                    // machines kept as warm room
 };
 
 } // namespace spindlecroft::control
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -60,15 +60,13 @@
 }
 
 void engine::fleet_for_services(std::vector<bidder> &fleet, double now) {
-    struct want {
-        bidder b;
-        int count;
-    };
     auto fits_on = [&](bidder &b, const job_spec &s) {
         return (!b.spot || s.spot) && type_allowed(s, b.type.name) &&
                (!s.zone || *s.zone == b.zone) && b.critical.fits(s);
     };
     auto rent_for = [&](const job_spec &s, const std::set<std::string> *zones) {
+        if (fleet.size() >= static_cast<std::size_t>(settings_.ops.fleet_limit))
+            return false;
         auto offer = cheapest_offer(s, false, zones, now);
         if (!offer)
             return false;
@@ -205,7 +203,8 @@
                 b.whole.take(s);
                 --need;
             }
-        while (need > 0) {
+        // Bounded also here: a job of 100,000 tasks would ask for thousands of machines.
+        while (need > 0 && fleet.size() < static_cast<std::size_t>(settings_.ops.fleet_limit)) {
             std::optional<rental_offer> offer;
             if (s.spot && settings_.ops.spot)
                 offer = cheapest_offer(s, true, nullptr, now);
@@ -257,10 +256,8 @@
             fleet.push_back(std::move(b));
         }
     }
-    if (static_cast<int>(fleet.size()) < settings_.ops.fleet_limit) {
-        fleet_for_services(fleet, now);
-        fleet_for_arrays(fleet, now);
-    }
+    fleet_for_services(fleet, now);
+    fleet_for_arrays(fleet, now);
     return_idle(now);
 }
 
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -112,7 +112,7 @@
 std::vector<engine::bidder> engine::make_bidders(double now) {
     std::vector<bidder> out;
     for (auto &[name, m] : machines_) {
-        if (!m.usable())
+        if (!m.usable() || m.silent)
             continue;
         if (m.speed_samples >= c::slow_samples && m.speed < c::slow_machine)
             continue;
@@ -347,7 +347,7 @@
 }
 
 void engine::start_queued(machine_t &m, double now) {
-    if (!m.up || !m.usable() || now < m.refused_until)
+    if (!m.up || !m.usable() || m.silent || now < m.refused_until)
         return;
     bidding::room room{m.type.cpus, m.type.gpus, m.type.memory_gb};
     std::vector<attempt_t *> lower;
@@ -442,27 +442,44 @@
 }
 
 void engine::check_machines(double now) {
-    std::size_t up = 0, silent = 0;
+    struct tally {
+        double up = 0, silent = 0;
+        // Many at once: rather they, or we, are cut off than dead.
+        bool doubt(double least, double share) const { return up > least && silent > share * up; }
+    };
+    std::map<std::string, tally> zones;
+    tally all;
     double limit = c::silent_reports * settings_.report_s + c::silent_margin_s;
-    auto is_silent = [&](const machine_t &m) {
+    auto silent_for = [&](const machine_t &m) {
         // Listed as running without a word to us counts from then.
         double since = m.up ? std::max(m.heard_at, began_) : m.running_at;
-        return since >= 0 && now - since > limit;
+        return since >= 0 ? now - since : 0.0;
     };
-    for (auto &[name, m] : machines_)
-        if ((m.up || m.running_at >= 0) && !m.deleting) {
-            ++up;
-            if (is_silent(m))
-                ++silent;
+    for (auto &[name, m] : machines_) {
+        m.silent = silent_for(m) > limit;
+        if ((!m.up && m.running_at < 0) || m.deleting)
+            continue;
+        for (auto *t : {&all, &zones[m.zone]}) {
+            ++t->up;
+            t->silent += m.silent;
         }
-    // Many at once: rather we are cut off than they are dead.
-    bool doubt = up > 3 && silent > c::silent_share * up;
+        // Nothing waits in the queue of a machine that may be dead.
+        if (m.silent && !m.queue.empty())
+            unqueue(m);
+    }
+    bool all_doubt = all.doubt(3, c::silent_share);
+    // After a cut the machines come back one after another.
+    for (auto &[zone, t] : zones)
+        if (t.doubt(2, c::silent_zone_share))
+            zone_doubt_until_[zone] = now + c::cut_return_s;
     for (auto &[name, m] : machines_) {
         if (m.deleting)
             continue;
         double age = boot_age(m, now);
-        if (is_silent(m) && (!doubt || now - std::max({m.heard_at, m.running_at, began_}) >
-                                           limit + settings_.lease_s)) {
+        // In a zone that is cut off, tasks go on until their leases end, and the machines are of
+        // use again after the cut: deleting them at once would end work for nothing.
+        bool doubt = all_doubt || zone_doubt_until_[m.zone] > now;
+        if (m.silent && (!doubt || silent_for(m) > limit + settings_.lease_s + c::cut_patience_s)) {
             want_delete(m, "silent");
         } else if (!m.up && m.known_type && age > c::boot_late * m.type.boot_s + 5) {
             want_delete(m, "never came up");
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -32,6 +32,7 @@
 
     std::uint64_t session = 0, seq = 0, token = 0;
     double heard_at = -1;   // s; newest report
+    bool silent = false;    // no word for longer than reports can take
     double lease_bound = 0; // s; after this an unheard worker has surely killed its tasks
 
     // A direct command that may still arrive: it is dead only once the worker has seen a higher
