--- a/src/catalog/job_cache.cpp
+++ b/src/catalog/job_cache.cpp
@@ -130,6 +130,7 @@
             continue;
         }
         auto serving = reads_wanted_;
+        double sent = now_s();
         bool gone = false;
         auto w =
             co_await state_.watch(control::jobs_prefix, revision_, 0, store::urgency::accept, gone);
@@ -137,6 +138,7 @@
             reload_ = true;
         if (w) {
             apply(*w);
+            fresh_at_ = sent;
             reads_done_ = serving;
             served_.notify();
             co_await net::sleep_s(c::fence_gap_s);
@@ -146,6 +148,13 @@
     }
 }
 
+void job_cache::want_read() {
+    if (reads_wanted_ == reads_done_) {
+        ++reads_wanted_;
+        wake_.notify();
+    }
+}
+
 awaitable<bool> job_cache::catch_up(double limit_s) {
     auto mine = ++reads_wanted_;
     double limit = now_s() + limit_s;
--- a/src/catalog/job_cache.hpp
+++ b/src/catalog/job_cache.hpp
@@ -25,6 +25,8 @@
     // Returns true once the cache is at least as new as the moment of the call; false if the
     // state service could not be read within the time.
     net::awaitable<bool> catch_up(double limit_s);
+    // Asks for a shared read without waiting for it.
+    void want_read();
     const cached_job *active(const std::string &id) const;
     std::optional<wire::ended_record> ended(const std::string &id) const;
     // Reads the ended record of a job that is neither active nor at hand.
@@ -33,6 +35,8 @@
     const std::map<std::string, cached_job> &all() const { return active_; }
     bool loaded() const { return loaded_; }
     std::uint64_t revision() const { return revision_; }
+    // Everything that was durable at this time (steady clock) is in the cache.
+    double fresh_at() const { return fresh_at_; }
 
     std::function<void(const std::string &, const cached_job &)> on_active;
 
@@ -46,6 +50,7 @@
     std::unordered_map<std::string, wire::ended_record> ended_;
     std::deque<std::string> ended_order_;
     std::uint64_t revision_ = 0;
+    double fresh_at_ = -1e9;
     bool loaded_ = false, stopping_ = false, reload_ = false;
     std::uint64_t reads_wanted_ = 0; // number of the newest call that waits
     std::uint64_t reads_done_ = 0;   // calls up to this one are served
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -53,6 +53,13 @@
 inline constexpr double authority_margin_s =
     0.1; // s; taken off every promise and lease that we rely on
 
+inline constexpr double blind_margin_s =
+    3.0; // s; kept back of cancel_s for answers and orders on their way
+inline constexpr double blind_least_s =
+    4.0; // s; a leader may be without news of cancels this long at least
+inline constexpr double leader_fresh_s =
+    2.0; // s; a leader reads the jobs' records at least this often
+
 // --- state service ---
 inline constexpr double state_share =
     0.9; // share of the limits that all nodes together plan to use
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -288,6 +288,8 @@
             co_return unsure("the state service does not answer");
         if (!*s)
             co_return error(404, "no such job");
+        if ((*s)->stage == job_stage::cancelled)
+            member_.note_cancel();
         if ((*s)->stage == job_stage::done || (*s)->stage == job_stage::cancelled)
             co_return response{200, wire::encode_accepted(id, (*s)->stage), 0, false};
         auto *j = cache_.active(id);
@@ -295,19 +297,27 @@
             continue;
         auto record = j->record;
         record.cancelled = true;
+        record.cancelled_at = wall_s();
         store::unit u;
         u.rank = store::urgency::cancel;
         u.when = {{active_key(id), j->version}};
         u.ops = {{active_key(id), wire::encode_job_record(record), 0}};
         auto how = co_await commit(std::move(u), std::max(0.2, limit - now_s()));
-        if (how == store::unit_outcome::committed)
+        if (how == store::unit_outcome::committed) {
+            member_.note_cancel();
             co_return response{200, wire::encode_accepted(id, job_stage::cancelled), 0, false};
+        }
         if (how != store::unit_outcome::conflict)
             break;
     }
     co_return unsure("the state service does not answer");
 }
 
+bool controller::may_renew(double now) const {
+    return membership::may_renew(now, member_.cancels_known_until(cache_.fresh_at()),
+                                 settings_.lease_s, settings_.cancel_s);
+}
+
 awaitable<response> controller::on_checkin(std::string body) {
     auto elsewhere = [&] {
         auto hint = member_.leader_hint();
@@ -342,7 +352,7 @@
         text = wire::encode_orders(member_.token(), orders);
     }
     // Checked right before the answer: without entitlement it must not renew a lease.
-    if (!in_charge(l))
+    if (!in_charge(l) || !may_renew(now_s()))
         co_return elsewhere();
     l->core->answered(report.machine, now_s());
     co_return response{200, text, 0, false};
@@ -575,6 +585,8 @@
             net::spawn(io_, remove(l, std::move(names)), "delete");
         for (auto &m : core.take_urgent())
             net::spawn(io_, command(l, m), "command");
+        if (now - cache_.fresh_at() > c::leader_fresh_s)
+            cache_.want_read();
         if (core.wants_token_raise(now))
             member_.want_raise();
         if (now > next_summary) {
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -111,7 +111,7 @@
     if (kept.spec.shape == job_shape::array)
         typical_ = kept.spec;
     if (r.cancelled)
-        cancel_job(kept, now);
+        cancel_job(kept, r, now);
 }
 
 void engine::load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits) {
@@ -206,12 +206,15 @@
         return;
     j->version = version;
     if (r.cancelled && !j->cancelled)
-        cancel_job(*j, now);
+        cancel_job(*j, r, now);
 }
 
-void engine::cancel_job(job_t &j, double now) {
+void engine::cancel_job(job_t &j, const wire::job_record &r, double now) {
     j.cancelled = true;
+    // The user was told when the record was written, not when we hear of it.
     j.cancelled_at = now;
+    if (r.cancelled_at > 0)
+        j.cancelled_at = std::min(now, r.cancelled_at - wall_offset_ - settings_.time_bound_s);
     while (!j.queued.empty())
         unqueue_task(j, j.queued.begin()->first);
     std::vector<std::uint32_t> indices;
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -147,7 +147,7 @@
     void task_failed(machine_t &m, job_t &j, double now);
     void drop_attempt(job_t &j, std::uint32_t index, bool again);
     void stop_attempt(attempt_t &a, double grace_s, double now);
-    void cancel_job(job_t &j, double now);
+    void cancel_job(job_t &j, const wire::job_record &r, double now);
     // Work that saves may do so before it makes room; other work would only lose the time.
     static double grace_of(const job_spec &s) { return s.checkpoint_s > 0 ? s.save_s : 0; }
     void clear_machine(machine_t &m, bool gone, double now);
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -17,7 +17,8 @@
       book_(now_s(), s.members.empty()
                          ? 0
                          : c::promise_s * (1 + 2 * c::clock_drift) + c::authority_margin_s),
-      authority_(s.node, s.members.size() + 1), random_(std::random_device()()), wake_(io) {
+      authority_(s.node, s.members.size() + 1), random_(std::random_device()()),
+      last_cancel_(now_s()), wake_(io) {
     incarnation_ = fmt::format("{}#{:08x}", s.node, random_());
     for (auto &m : s.members) {
         auto p = std::make_unique<peer_state>();
@@ -59,6 +60,13 @@
     wake_.notify();
 }
 
+double member::cancels_known_until(double fresh_at) const {
+    std::vector<cancel_news> others;
+    for (auto &p : peers_)
+        others.push_back(p->cancels);
+    return membership::cancels_known_until(now_s(), fresh_at, others);
+}
+
 bool member::state_served_elsewhere() const {
     for (auto &p : peers_)
         if (p->state_ok && now_s() - p->heard_at < 3)
@@ -89,6 +97,7 @@
     out.numbers["state_ok"] = state_.silence(now) < 2.5;
     out.numbers["reports_age_ms"] =
         static_cast<std::uint64_t>(std::min(1e6, (now - last_report_) * 1000));
+    out.numbers["cancel_age_ms"] = static_cast<std::uint64_t>((now - last_cancel_) * 1000);
     out.texts["holder"] = book_.holder(now);
     for (auto &p : peers_)
         if (p->name == from) {
@@ -121,6 +130,7 @@
         auto a = wire::parse_peer(r.body);
         p.heard_at = now_s();
         p.state_ok = a.number("state_ok") != 0;
+        p.cancels = {sent, p.heard_at - static_cast<double>(a.number("cancel_age_ms")) / 1000.0};
         p.reports_age = a.number("reports_age_ms", 1000000) / 1000.0;
         // A promise to an earlier candidacy doesn't count, and none revives a leader that lapsed.
         if (a.number("granted") && candidacy == candidacy_ &&
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -30,6 +30,11 @@
     std::string on_message(const std::string &body);
     // Another controller said of late that the state service answers it.
     bool state_served_elsewhere() const;
+    // A user was told that a job is cancelled.
+    void note_cancel() { last_cancel_ = net::now_s(); }
+    // The time up to which no controller can have told a user of a cancel that is not known here,
+    // when all that was durable at fresh_at is known.
+    double cancels_known_until(double fresh_at) const;
     void note_report() { last_report_ = net::now_s(); }
 
     std::function<void()> on_elected; // the token is set
@@ -45,6 +50,7 @@
         bool state_ok = false;
         double reports_age = 1e9;
         double heard_at = -1;
+        cancel_news cancels;
         bool busy = false;
     };
     net::awaitable<void> follow();
@@ -74,6 +80,7 @@
     double hint_at_ = -1e9;
     double no_stand_until_ = 0;
     double last_report_ = -1e9;
+    double last_cancel_; // what was told before this run is not remembered
     net::signal wake_;
 };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -576,6 +576,8 @@
     json::object o;
     o["cancelled"] = r.cancelled;
     o["at"] = r.accepted_at;
+    if (r.cancelled)
+        o["cancelledAt"] = r.cancelled_at;
     o["job"] = spec_object(r.spec);
     return json::serialize(o);
 }
@@ -585,6 +587,7 @@
     job_record r;
     r.cancelled = flag(o, "cancelled");
     r.accepted_at = amount(o, "at");
+    r.cancelled_at = amount_or(o, "cancelledAt", 0);
     r.spec = spec_of(object_of(need(o, "job"), "job"));
     return r;
 }
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -82,7 +82,8 @@
 // --- our records in the state service ---
 struct job_record {
     bool cancelled = false;
-    double accepted_at = 0; // s, time of day
+    double accepted_at = 0;  // s, time of day
+    double cancelled_at = 0; // s, time of day; 0: unknown
     job_spec spec;
 };
 std::string encode_job_record(const job_record &r);
