--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -88,8 +88,6 @@
 inline constexpr double cut_return_s =
     10.0; // s; after a cut, the time for its machines to report again
 inline constexpr double token_bump_s = 6.0; // s; least time between two raises of the token
-inline constexpr double command_gap_s =
-    0.05; // s; direct commands wait this long to share a request
 
 // --- bidding ---
 inline constexpr double preempt_cost_s = 3.0;  // s; added to a bid that would stop other work
