--- a/src/catalog/job.hpp
+++ b/src/catalog/job.hpp
@@ -63,13 +63,14 @@
     std::set<std::uint32_t> again;               // placed before, to be placed again
     std::map<std::uint32_t, std::string> queued; // in the queue of this machine
     std::map<std::uint32_t, attempt> live;
-    std::vector<bool> done_durable;                   // of these, written
-    double write_after = 0;                           // s; pause after a conflict
-    std::set<std::uint32_t> done_dirty, placed_dirty; // chunks to write
-    std::set<std::uint32_t> done_busy, placed_busy;   // chunks being written
-    std::set<std::uint32_t> placed_keys, done_keys;   // chunks that exist
+    std::vector<bool> done_durable; // of these, written
+    double write_after = 0;         // s; pause after a conflict
+    std::set<std::uint32_t> done_dirty, done_busy,
+        done_keys;         // chunks to write, being written, there
+    double done_since = 0; // s; when a chunk became dirty
 
-    double took_sum = 0; // s; run times of its done tasks, at the speed of an ordinary machine
+    std::uint32_t image = 0; // number of its image
+    double took_sum = 0;     // s; run times of its done tasks, at the speed of an ordinary machine
     int took_count = 0;
     int failures = 0;
     double backoff_until = 0;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -69,9 +69,16 @@
 inline constexpr double watch_gap_s = 0.10;   // s; between two openings of the long watch
 inline constexpr int watch_hold_ms = 10'000;  // ms; a watch without news returns after this
 inline constexpr double state_retry_s = 0.25; // s; pause after a refusal
-inline constexpr std::size_t commit_queue = 4000;    // waiting changes; beyond it users get 503
-inline constexpr std::uint64_t chunk_done = 4096;    // tasks in a done record (1 KiB as hex digits)
-inline constexpr std::uint64_t chunk_placed = 32;    // tasks in a placement record (about 3 KiB)
+inline constexpr std::size_t commit_queue = 4000; // waiting changes; beyond it users get 503
+inline constexpr std::uint64_t chunk_done = 4096; // tasks in a done record (1 KiB as hex digits)
+inline constexpr double placed_fill =
+    0.9; // share of the largest value that a placement record takes
+inline constexpr double done_gap_s =
+    1.5; // s; a done record waits this long for more tasks of its job
+inline constexpr double sweep_gap_s =
+    2.0; // s; between two searches for placement records that ended
+inline constexpr double names_gap_s =
+    20.0; // s; a rental's record is rewritten at most this often for machines that are gone
 inline constexpr std::size_t ended_in_memory = 4000; // ended jobs whose state is kept at hand
 
 // --- workers ---
@@ -90,8 +97,13 @@
 inline constexpr double token_bump_s = 6.0; // s; least time between two raises of the token
 
 // --- bidding ---
-inline constexpr double preempt_cost_s = 3.0;  // s; added to a bid that would stop other work
-inline constexpr double plan_gap_s = 0.1;      // s; least time between two rounds of bids
+inline constexpr double preempt_cost_s = 3.0; // s; added to a bid that would stop other work
+inline constexpr double summary_gap_s = 10.0; // s; between two lines of the log about the fleet
+inline constexpr double plan_gap_s = 0.1;     // s; least time between two rounds of bids
+inline constexpr double bidder_age_s =
+    2.0; // s; what is left of running work is worked out anew at least this often
+inline constexpr double check_gap_s =
+    0.3; // s; between two looks over all machines for leases, silence and late cancels
 inline constexpr double queue_limit_s = 120.0; // s; a worker queue holds this much estimated work
 inline constexpr double idle_rebid_s = 1.0; // s; a machine idle for this long has tasks bid again
 inline constexpr double speed_gain = 0.15;  // weight of the newest measurement of a machine's speed
@@ -133,6 +145,7 @@
 inline constexpr double rent_gap_s = 2.0; // s; between two rounds of renting
 inline constexpr int spare_replicas =
     2; // replicas of the largest service that fit at once, kept warm
-inline constexpr int fleet_limit = 400; // machines; a guard against runaway renting
+inline constexpr int fleet_limit =
+    5000; // machines; a guard against runaway renting, beyond what the sockets of a node can serve
 
 } // namespace spindlecroft::constants
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -1,6 +1,7 @@
 #include "control/controller.hpp"
 #include "constants.hpp"
 #include <chrono>
+#include <ctime>
 #include <fmt/format.h>
 
 namespace spindlecroft::control {
@@ -15,6 +16,10 @@
         .count();
 }
 
+static double cpu_s() {
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
 struct controller::leadership {
     leadership(net::asio::io_context &io, store::state_client &state, const settings::settings &s)
         : commits(io, state, s, "leader"), wake(io) {}
@@ -23,6 +28,7 @@
     net::signal wake;
     bool over = false;
     std::set<std::string> commanding;
+    std::uint64_t reports = 0, commands = 0;                     // since the last summary
     std::map<std::string, std::shared_ptr<net::client>> workers; // by address
 };
 
@@ -339,6 +345,7 @@
         spdlog::warn("a report was malformed: {}", e.what());
         co_return error(400, e.what());
     }
+    ++l->reports;
     double now = now_s();
     auto age = l->core->on_report(report, now);
     l->wake.notify();
@@ -515,8 +522,8 @@
     }
     for (auto &i : placed->items) {
         l->commits.set_version(i.key, i.version);
-        if (split(i.key, placed_prefix, job, chunk))
-            core->load_placed(job, chunk, wire::parse_placed(i.value), now);
+        core->load_placed(i.key.substr(std::string(placed_prefix).size()),
+                          wire::parse_placed(i.value), now);
     }
     for (auto &i : rentals->items) {
         l->commits.set_version(i.key, i.version);
@@ -560,12 +567,15 @@
 
 // Drives the engine: time in, decisions out.
 awaitable<void> controller::pump(std::shared_ptr<leadership> l) {
-    double next_summary = now_s() + 10;
+    double next_summary = now_s() + c::summary_gap_s, next_look = 0;
+    double cpu_before = cpu_s();
     while (in_charge(l)) {
         auto &core = *l->core;
         double now = now_s();
         core.tick(now);
-        for (auto &w : core.take_writes(now)) {
+        auto most = static_cast<std::size_t>(settings_.txn_ops);
+        auto waiting = l->commits.waiting();
+        for (auto &w : core.take_writes(now, waiting < most ? most - waiting : 0)) {
             store::unit u;
             u.owned = true;
             u.when = w.when;
@@ -581,22 +591,30 @@
         }
         for (auto &r : core.take_rentals(now))
             net::spawn(io_, rent(l, r), "rent");
-        if (auto names = core.take_deletions(now); !names.empty())
-            net::spawn(io_, remove(l, std::move(names)), "delete");
+        // These look at every machine.
+        if (now >= next_look) {
+            next_look = now + c::check_gap_s;
+            if (auto names = core.take_deletions(now); !names.empty())
+                net::spawn(io_, remove(l, std::move(names)), "delete");
+            if (core.wants_token_raise(now))
+                member_.want_raise();
+        }
         for (auto &m : core.take_urgent())
             net::spawn(io_, command(l, m), "command");
         if (now - cache_.fresh_at() > c::leader_fresh_s)
             cache_.want_read();
-        if (core.wants_token_raise(now))
-            member_.want_raise();
         if (now > next_summary) {
-            next_summary = now + 10;
-            // Connections to machines that are gone would use up the sockets.
-            std::set<std::string> known;
-            for (auto &[name, m] : core.machines())
-                known.insert(m.address);
-            std::erase_if(l->workers, [&](auto &w) { return !known.count(w.first); });
-            spdlog::info("{}; {} writes waiting", core.summary(), l->commits.waiting());
+            next_summary = now + c::summary_gap_s;
+            // Connections to workers that had no command of late would use up the sockets.
+            std::erase_if(l->workers, [&](auto &w) {
+                return w.second.use_count() == 1 && now - w.second->used_at() > c::summary_gap_s;
+            });
+            double cpu = cpu_s();
+            spdlog::info(
+                "{}; {} writes waiting; {} reports, {} commands, {:.2f} s of processor time",
+                core.summary(), l->commits.waiting(), l->reports, l->commands, cpu - cpu_before);
+            cpu_before = cpu;
+            l->reports = l->commands = 0;
         }
         co_await net::sleep_s(0.02);
         co_await l->wake.wait_for(0.2);
@@ -719,6 +737,7 @@
     bool starts = false;
     for (auto &o : orders)
         starts = starts || o.kind == order_kind::start;
+    ++l->commands;
     auto token = member_.token();
     auto client = l->workers[address];
     try {
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -16,8 +16,8 @@
 std::string ended_key(const std::string &job) {
     return ended_prefix + job;
 }
-std::string placed_key(const std::string &job, std::uint32_t chunk) {
-    return fmt::format("{}{}/{}", placed_prefix, job, chunk);
+std::string placed_key(const std::string &segment) {
+    return placed_prefix + segment;
 }
 std::string done_key(const std::string &job, std::uint32_t chunk) {
     return fmt::format("{}{}/{}", done_prefix, job, chunk);
@@ -77,14 +77,18 @@
 
 void engine::set_type(machine_t &m, const std::string &type, const std::string &zone, bool spot,
                       const std::string &address) {
+    if (!address.empty() && m.address != address)
+        m.address = address;
+    if (m.known_type && m.type.name == type && m.zone == zone && m.spot == spot)
+        return; // as in nearly every report
     if (auto *t = type_of(type)) {
         m.type = *t;
         m.known_type = true;
     }
     m.zone = zone;
     m.spot = spot;
-    if (!address.empty())
-        m.address = address;
+    m.place = place_of(type, zone, spot);
+    m.changed = true;
 }
 
 // --- taking over ---
@@ -103,6 +107,7 @@
     j.accepted_at = std::min(now, r.accepted_at - wall_offset_);
     j.done.assign(r.spec.tasks, false);
     j.done_durable.assign(r.spec.tasks, false);
+    j.image = image_number(r.spec.image);
     auto &kept = jobs_[id] = std::move(j);
     if (kept.spec.shape == job_shape::service && !r.cancelled) {
         services_seen_[kept.spec.job_class] = kept.spec;
@@ -117,8 +122,7 @@
 void engine::load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits) {
     auto *j = job_of(job);
     if (!j) {
-        cleanup_.push_back(
-            {write_kind::cleanup, job, chunk, {}, {{done_key(job, chunk), "", 0}}, {}, {}, {}});
+        clean_up(done_key(job, chunk));
         return;
     }
     j->done_keys.insert(chunk);
@@ -132,22 +136,26 @@
     }
 }
 
-void engine::load_placed(const std::string &job, std::uint32_t chunk,
-                         const std::vector<wire::placed_task> &tasks, double now) {
-    auto *j = job_of(job);
-    if (!j) {
-        cleanup_.push_back(
-            {write_kind::cleanup, job, chunk, {}, {{placed_key(job, chunk), "", 0}}, {}, {}, {}});
-        return;
-    }
-    j->placed_keys.insert(chunk);
+void engine::load_placed(const std::string &name, const std::vector<wire::placed_task> &tasks,
+                         double now) {
+    auto &kept = segments_[name];
+    kept.open = false;
     for (auto &t : tasks) {
-        if (t.index >= j->spec.tasks || j->done[t.index])
+        auto *j = job_of(t.job);
+        if (!j || t.index >= j->spec.tasks || j->done[t.index])
             continue;
+        // An older record may still name an attempt that was proven gone before a newer one was
+        // made: attempts only grow.
+        if (auto i = j->live.find(t.index); i != j->live.end()) {
+            if (i->second.number >= t.attempt)
+                continue;
+            drop_attempt(*j, t.index, false);
+        }
+        kept.tasks.push_back(t);
         // Guards against a second start: the task may be there, or a start may be under way,
         // until the machine's own report under our token says otherwise.
         attempt_t a;
-        a.task = {job, t.index};
+        a.task = {t.job, t.index};
         a.number = t.attempt;
         a.machine = t.machine;
         a.phase = attempt_phase::sent;
@@ -155,7 +163,9 @@
         a.created_at = now;
         a.estimate_s = estimates_.expected_s(j->spec);
         a.stop_wanted = j->cancelled;
-        machine_of(t.machine, now).attempts.insert(a.task);
+        auto &m = machine_of(t.machine, now);
+        m.attempts.insert(a.task);
+        m.changed = true;
         j->live[t.index] = std::move(a);
     }
 }
@@ -245,6 +255,7 @@
         catalog::task_ref ref{j.spec.id, index};
         d.erase(std::remove_if(d.begin(), d.end(), [&](auto &t) { return t.task == ref; }),
                 d.end());
+        m->second.changed = true;
     }
     j.queued.erase(q);
 }
@@ -256,6 +267,7 @@
             j->push_back(t.task.index);
         }
     m.queue.clear();
+    m.changed = true;
     dirty_ = true;
 }
 
@@ -266,8 +278,10 @@
     if (again && !j.over())
         spdlog::debug("{}/{} is no longer on {}", j.spec.id, index, i->second.machine);
     auto m = machines_.find(i->second.machine);
-    if (m != machines_.end())
+    if (m != machines_.end()) {
         m->second.attempts.erase(i->second.task);
+        m->second.changed = true;
+    }
     j.live.erase(i);
     if (again)
         j.push_back(index);
@@ -308,6 +322,8 @@
     if (new_session)
         m.idle_since = now; // cut off until now, not idle
     m.strays.clear();
+    if (!r.tasks.empty() || !m.attempts.empty())
+        m.changed = true;
     std::set<catalog::task_ref> listed;
     for (auto &t : r.tasks) {
         listed.insert({t.job, t.index});
@@ -319,11 +335,12 @@
             missing.push_back(ref);
     for (auto &ref : missing) {
         auto *j = job_of(ref.job);
-        if (!j || !j->live.count(ref.index)) {
+        auto i = j ? j->live.find(ref.index) : decltype(j->live.end()){};
+        if (!j || i == j->live.end()) {
             m.attempts.erase(ref);
             continue;
         }
-        auto &a = j->live[ref.index];
+        auto &a = i->second;
         // A session that ended took every task with it, and commands of it are refused.
         if (new_session && a.present())
             drop_attempt(*j, ref.index, true);
@@ -432,6 +449,7 @@
     a.created_at = a.running_since = now;
     a.estimate_s = expected_s(j);
     m.attempts.insert(a.task);
+    m.changed = true;
     auto &kept = j.live[t.index] = std::move(a);
     stop_attempt(kept, 0, now);
     spdlog::info("{}: adopted {}/{} attempt {}", m.name, t.job, t.index, t.attempt);
@@ -568,7 +586,7 @@
     (void)now;
 }
 
-void engine::task_done(job_t &j, std::uint32_t index, double) {
+void engine::task_done(job_t &j, std::uint32_t index, double now) {
     if (j.over() || j.done[index])
         return;
     unqueue_task(j, index);
@@ -579,6 +597,8 @@
             j.again.insert(j.next_fresh);
     j.done[index] = true;
     ++j.done_seen;
+    if (j.done_dirty.empty())
+        j.done_since = now;
     j.done_dirty.insert(static_cast<std::uint32_t>(index / c::chunk_done));
 }
 
@@ -737,6 +757,7 @@
     if (i == machines_.end())
         return;
     clear_machine(i->second, true, now);
+    bidders_.erase(name);
     machines_.erase(name);
     removed_[name] = now;
     urgent_.erase(name);
@@ -902,8 +923,6 @@
     w.ops.push_back({ended_key(w.job), wire::encode_ended(e), 0});
     // The job's other records go with it, as far as a transaction holds.
     std::vector<std::string> rest;
-    for (auto k : j.placed_keys)
-        rest.push_back(placed_key(w.job, k));
     for (auto k : j.done_keys)
         rest.push_back(done_key(w.job, k));
     std::size_t room = static_cast<std::size_t>(std::max(2, settings_.txn_ops / 2));
@@ -911,15 +930,112 @@
         if (w.ops.size() < room)
             w.ops.push_back({key, "", 0});
         else
-            cleanup_.push_back({write_kind::cleanup, w.job, 0, {}, {{key, "", 0}}, {}, {}, {}});
+            clean_up(key);
     }
     return w;
 }
 
-std::vector<durable_write> engine::take_writes(double now) {
+void engine::write_placements(std::vector<durable_write> &out, double now) {
+    std::size_t most_bytes = std::min(
+        static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024), c::txn_bytes);
+    std::size_t most_jobs = static_cast<std::size_t>(std::max(1, 2 * settings_.txn_ops));
+    for (int kind = 0; kind < 2; ++kind) {
+        auto &waiting = unplaced_[kind];
+        while (!waiting.empty()) {
+            auto &name = open_segment_[kind];
+            if (name.empty())
+                name = fmt::format("{}-{}", first_token_, ++segment_counter_);
+            auto &seg = segments_[name];
+            if (seg.busy)
+                break; // the next write takes all that gathers meanwhile
+            std::erase_if(seg.tasks, [&](auto &t) {
+                return !attempt_of({t.job, t.index}, t.attempt);
+            });
+            seg.bytes = 2;
+            for (auto &t : seg.tasks)
+                seg.bytes += wire::placed_bytes(t);
+            durable_write w;
+            w.kind = write_kind::placed;
+            w.segment = name;
+            std::set<std::string> jobs;
+            std::deque<catalog::task_ref> later;
+            bool full = false;
+            while (!waiting.empty() && !full) {
+                auto ref = waiting.front();
+                auto *j = job_of(ref.job);
+                auto i = j ? j->live.find(ref.index) : decltype(j->live.end()){};
+                if (!j || j->over() || i == j->live.end() ||
+                    i->second.phase != attempt_phase::committing) {
+                    waiting.pop_front();
+                    continue;
+                }
+                if (now < j->write_after) {
+                    later.push_back(ref);
+                    waiting.pop_front();
+                    continue;
+                }
+                wire::placed_task t{ref.job, ref.index, i->second.number, i->second.machine};
+                full = seg.bytes + wire::placed_bytes(t) > most_bytes ||
+                       (!jobs.count(ref.job) && jobs.size() >= most_jobs);
+                if (full)
+                    break;
+                waiting.pop_front();
+                seg.bytes += wire::placed_bytes(t);
+                // A cancel changes the job's record, so it wins over a placement made meanwhile.
+                if (jobs.insert(ref.job).second)
+                    w.when.push_back({active_key(ref.job), j->version});
+                w.attempts.emplace_back(ref, t.attempt);
+                seg.tasks.push_back(std::move(t));
+            }
+            waiting.insert(waiting.begin(), later.begin(), later.end());
+            if (!w.attempts.empty()) {
+                w.ops.push_back({placed_key(name), wire::encode_placed(seg.tasks), 0});
+                seg.busy = true;
+                out.push_back(std::move(w));
+            }
+            if (!full)
+                break;
+            seg.open = false;
+            name.clear();
+        }
+    }
+}
+
+void engine::clean_up(const std::string &key) {
+    durable_write w;
+    w.kind = write_kind::cleanup;
+    w.ops.push_back({key, "", 0});
+    cleanup_.push_back(std::move(w));
+}
+
+// Records whose placements have all ended are dropped.
+void engine::sweep_segments(double now) {
+    if (now - last_sweep_ < c::sweep_gap_s)
+        return;
+    last_sweep_ = now;
+    for (auto i = segments_.begin(); i != segments_.end();) {
+        auto &seg = i->second;
+        if (seg.busy || seg.open) {
+            ++i;
+            continue;
+        }
+        std::erase_if(seg.tasks, [&](auto &t) { return !attempt_of({t.job, t.index}, t.attempt); });
+        if (!seg.tasks.empty()) {
+            ++i;
+            continue;
+        }
+        clean_up(placed_key(i->first));
+        i = segments_.erase(i);
+    }
+}
+
+std::vector<durable_write> engine::take_writes(double now, std::size_t room) {
     std::vector<durable_write> out;
     if (!ready_)
         return out;
+    write_placements(out, now);
+    sweep_segments(now);
+    std::vector<std::pair<double, job_t *>> unsaved; // jobs with done records to write
     for (auto &[id, j] : jobs_) {
         if (j.end_writing || j.ended || now < j.write_after)
             continue;
@@ -931,46 +1047,28 @@
                 if (a.phase != attempt_phase::exited)
                     complete = false;
         if (complete || cleared) {
-            if (j.placed_busy.empty() && j.done_busy.empty()) {
+            if (j.done_busy.empty()) {
                 j.end_writing = true;
                 out.push_back(end_write(j));
             }
             continue;
         }
-        if (j.cancelled)
-            continue;
-        auto placed = j.placed_dirty;
-        for (auto chunk : placed) {
-            if (j.placed_busy.count(chunk))
-                continue;
-            durable_write w;
-            w.kind = write_kind::placed;
-            w.job = id;
-            w.chunk = chunk;
-            std::vector<wire::placed_task> entries;
-            for (auto i = j.live.lower_bound(static_cast<std::uint32_t>(chunk * c::chunk_placed));
-                 i != j.live.end() && i->first < (chunk + 1) * c::chunk_placed; ++i) {
-                entries.push_back({i->first, i->second.number, i->second.machine});
-                if (i->second.phase == attempt_phase::committing)
-                    w.attempts.emplace_back(i->first, i->second.number);
-            }
-            j.placed_dirty.erase(chunk);
-            if (w.attempts.empty())
-                continue;
-            // A cancel changes the job's record, so it wins over a placement made meanwhile.
-            w.when.push_back({active_key(id), j.version});
-            w.ops.push_back({placed_key(id, chunk), wire::encode_placed(entries), 0});
-            j.placed_busy.insert(chunk);
-            j.placed_keys.insert(chunk);
-            out.push_back(std::move(w));
-        }
-        auto done = j.done_dirty;
-        for (auto chunk : done) {
+        // The last task's end is in the job's ended record; until then several share a write.
+        if (!j.cancelled && !j.done_dirty.empty() && now - j.done_since >= c::done_gap_s)
+            unsaved.emplace_back(j.done_since, &j);
+    }
+    std::sort(unsaved.begin(), unsaved.end(), [](auto &a, auto &b) { return a.first < b.first; });
+    for (auto &[since, job] : unsaved) {
+        if (room == 0)
+            break;
+        auto &j = *job;
+        auto dirty = j.done_dirty;
+        for (auto chunk : dirty) {
             if (j.done_busy.count(chunk))
                 continue;
             durable_write w;
             w.kind = write_kind::done;
-            w.job = id;
+            w.job = j.spec.id;
             w.chunk = chunk;
             std::vector<bool> bits;
             for (std::size_t i = chunk * c::chunk_done;
@@ -980,25 +1078,31 @@
                     w.done.push_back(static_cast<std::uint32_t>(i));
             }
             j.done_dirty.erase(chunk);
-            w.ops.push_back({done_key(id, chunk), wire::encode_done_bits(bits), 0});
+            w.ops.push_back({done_key(w.job, chunk), wire::encode_done_bits(bits), 0});
             j.done_busy.insert(chunk);
             j.done_keys.insert(chunk);
             out.push_back(std::move(w));
+            room -= room > 0;
         }
     }
     for (auto &[request, s] : rentals_) {
         if (!s.dirty || s.busy)
             continue;
         // Names of machines that are gone are struck out: the next leader would take them for
-        // machines that are still booting, and queue work for them.
-        auto before = s.record.machines.size();
-        if (s.answered)
-            std::erase_if(s.record.machines, [&](auto &n) { return !machines_.count(n); });
-        bool all_gone = s.answered && s.record.machines.empty();
-        if (s.names_written && !all_gone && s.record.machines.size() == before) {
-            s.dirty = false;
-            continue;
+        // machines that are still booting, and queue work for them. That can wait for more.
+        auto gone = [&](auto &n) { return !machines_.count(n); };
+        auto &names = s.record.machines;
+        auto lost = s.answered ? std::count_if(names.begin(), names.end(), gone) : 0;
+        bool all_gone = s.answered && lost == static_cast<std::ptrdiff_t>(names.size());
+        if (s.names_written && !all_gone) {
+            if (lost == 0)
+                s.dirty = false;
+            if (lost == 0 || now - s.written_at < c::names_gap_s)
+                continue;
         }
+        if (s.answered)
+            std::erase_if(names, gone);
+        s.written_at = now;
         s.names_written = s.answered;
         durable_write w;
         w.kind = write_kind::rental;
@@ -1009,12 +1113,36 @@
         s.busy = true;
         out.push_back(std::move(w));
     }
-    for (auto &w : cleanup_)
-        out.push_back(std::move(w));
-    cleanup_.clear();
+    while (!cleanup_.empty() && room > 0) {
+        out.push_back(std::move(cleanup_.back()));
+        cleanup_.pop_back();
+        --room;
+    }
     return out;
 }
 
+void engine::on_placements_written(const durable_write &w, bool ok, double now) {
+    if (auto seg = segments_.find(w.segment); seg != segments_.end())
+        seg->second.busy = false;
+    for (auto &[ref, number] : w.attempts) {
+        auto *j = job_of(ref.job);
+        if (!j)
+            continue;
+        if (!ok)
+            j->write_after = now + c::state_retry_s; // by then the watch tells what changed
+        auto *a = attempt_of(ref, number);
+        if (!a || a->phase != attempt_phase::committing)
+            continue;
+        auto m = machines_.find(a->machine);
+        if (!ok || j->over() || m == machines_.end() || !m->second.usable()) {
+            drop_attempt(*j, ref.index, true);
+            continue;
+        }
+        a->phase = attempt_phase::committed;
+        urgent_.insert(a->machine);
+    }
+}
+
 void engine::on_written(const durable_write &w, bool ok, std::uint64_t, double now) {
     dirty_ = true;
     if (w.kind == write_kind::rental) {
@@ -1032,27 +1160,14 @@
             s.durable = true;
         return;
     }
+    if (w.kind == write_kind::placed) {
+        on_placements_written(w, ok, now);
+        return;
+    }
     auto *j = job_of(w.job);
     if (!j)
         return;
     switch (w.kind) {
-    case write_kind::placed:
-        j->placed_busy.erase(w.chunk);
-        for (auto &[index, number] : w.attempts) {
-            auto *a = attempt_of({w.job, index}, number);
-            if (!a || a->phase != attempt_phase::committing)
-                continue;
-            auto m = machines_.find(a->machine);
-            if (!ok || j->over() || m == machines_.end() || !m->second.usable()) {
-                drop_attempt(*j, index, true);
-                continue;
-            }
-            a->phase = attempt_phase::committed;
-            urgent_.insert(a->machine);
-        }
-        if (!ok)
-            j->write_after = now + c::state_retry_s;
-        break;
     case write_kind::done:
         j->done_busy.erase(w.chunk);
         if (!ok) {
@@ -1081,6 +1196,7 @@
             drop_attempt(*j, j->live.begin()->first, false);
         jobs_.erase(w.job);
         break;
+    case write_kind::placed:
     case write_kind::cleanup:
     case write_kind::rental:
         break;
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -1,8 +1,8 @@
 // The deciding part of a controller: events and time in, decisions out. It does no input or output,
 // so that traces can replay it.
 #pragma once
-#include "bidding/bid.hpp"
 #include "catalog/job.hpp"
+#include "control/bidder.hpp"
 #include "fairness/team_order.hpp"
 #include "fairness/team_queues.hpp"
 #include "settings/settings.hpp"
@@ -22,7 +22,7 @@
 // Keys in the state service.
 std::string active_key(const std::string &job);
 std::string ended_key(const std::string &job);
-std::string placed_key(const std::string &job, std::uint32_t chunk);
+std::string placed_key(const std::string &segment);
 std::string done_key(const std::string &job, std::uint32_t chunk);
 std::string rental_key(const std::string &request);
 inline constexpr const char *active_prefix = "j/a/";
@@ -43,9 +43,10 @@
     std::uint32_t chunk = 0;
     std::vector<txn_condition> when; // on keys that others write too
     std::vector<txn_op> ops;         // on keys that only the leader writes, and the job's record
-    std::vector<std::pair<std::uint32_t, std::uint64_t>> attempts; // placed: newly covered
-    std::vector<std::uint32_t> done;                               // done: newly covered
-    std::string rental;                                            // rental: the request's name
+    std::string segment;             // placed: the record's name
+    std::vector<std::pair<catalog::task_ref, std::uint64_t>> attempts; // placed: newly covered
+    std::vector<std::uint32_t> done;                                   // done: newly covered
+    std::string rental;                                                // rental: the request's name
 };
 
 struct rental_state {
@@ -57,6 +58,7 @@
     bool names_written = false;
     bool dirty = true, busy = false; // its record is to be written, is being written
     double next_try = 0;             // s
+    double written_at = -1e9;        // s
     int refusals = 0;
 };
 
@@ -70,8 +72,8 @@
     void load_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
                   double now);
     void load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits);
-    void load_placed(const std::string &job, std::uint32_t chunk,
-                     const std::vector<wire::placed_task> &tasks, double now);
+    void load_placed(const std::string &segment, const std::vector<wire::placed_task> &tasks,
+                     double now);
     void load_rental(const wire::rental_record &r, double now);
     void loaded(double now);
 
@@ -107,7 +109,8 @@
     void tick(double now);
 
     // --- decisions ---
-    std::vector<durable_write> take_writes(double now);
+    // room: how many records that can wait may be given out now; what waits longer covers more.
+    std::vector<durable_write> take_writes(double now, std::size_t room = 1000);
     std::vector<std::string> take_deletions(double now);
     std::vector<rental> take_rentals(double now);
     // Machines to which orders should go at once.
@@ -131,7 +134,6 @@
     using job_t = catalog::job;
     using machine_t = workers::machine;
     using attempt_t = catalog::attempt;
-    struct bidder;
 
     job_t *job_of(const std::string &id);
     machine_t &machine_of(const std::string &name, double now);
@@ -163,18 +165,23 @@
     void check_machines(double now);
     void plan_bids(double now);
     void start_queued(machine_t &m, double now);
-    bool bid_once(job_t &j, std::vector<bidder> &bidders, double now);
+    bool bid_once(job_t &j, std::vector<bidder *> &bidders, double now);
+    // The places (type, zone, kind) where one more task of the job may be now.
+    std::vector<char> places_for(const job_t &j) const;
+    std::size_t place_of(const std::string &type, const std::string &zone, bool spot);
+    std::uint32_t image_number(const std::string &image);
     // Tasks of the latest array for which such a replica would take the room.
     int spoilt_slots(const bidder &b, const job_spec &s) const;
-    bidder *make_way(const job_t &j, std::vector<bidder> &bidders, double now);
-    std::vector<bidder> make_bidders(double now);
+    bidder *make_way(const job_t &j, const std::vector<char> &places,
+                     const std::vector<bidder *> &bidders, double now);
+    // The machines that may get work now, with what they hold brought up to date.
+    std::vector<bidder *> make_bidders(double now);
     // For how long a machine that has not reported can be called booting. After a takeover even
     // machines that are up have not reported yet.
     double boot_age(const machine_t &m, double now) const;
     void refresh_bidder(bidder &b, double now);
     void rebid(double now);
     void plan_fleet(double now);
-    struct rental_offer;
     std::optional<rental_offer> cheapest_offer(const job_spec &s, bool spot,
                                                const std::set<std::string> *zones,
                                                double now) const;
@@ -184,11 +191,14 @@
     void return_idle(double now);
     void count_usage();
     bool type_allowed(const job_spec &s, const std::string &type) const;
-    bool rules_allow(const job_t &j, const machine_t &m) const;
     double expected_s(const job_t &j) const;
     fairness::waiting_job urgency_of(const job_t &j, double now) const;
     void end_if_complete(job_t &j);
     durable_write end_write(job_t &j);
+    void on_placements_written(const durable_write &w, bool ok, double now);
+    void write_placements(std::vector<durable_write> &out, double now);
+    void sweep_segments(double now);
+    void clean_up(const std::string &key);
 
     settings::settings settings_;
     std::vector<machine_type> types_;
@@ -196,10 +206,23 @@
     bidding::estimates estimates_;
     std::map<std::string, job_t> jobs_;
     std::map<std::string, machine_t> machines_;
+    std::map<std::string, bidder> bidders_; // of machines, as last worked out
     std::map<std::string, rental_state> rentals_;
     std::map<std::string, double> removed_; // machines that are gone, with the time
     std::map<std::string, double> refused_; // offers without capacity, until when
     std::vector<durable_write> cleanup_;
+    // Placements of any jobs share records, filled one after another, so that a round of placements
+    // costs one change at the state service, however many jobs it touches.
+    struct segment {
+        std::vector<wire::placed_task> tasks;
+        std::size_t bytes = 0;
+        bool busy = false, open = true;
+    };
+    std::map<std::string, segment> segments_;
+    std::string open_segment_[2];               // of arrays; of services, which stay for long
+    std::deque<catalog::task_ref> unplaced_[2]; // attempts that no record covers yet
+    std::uint64_t segment_counter_ = 0;
+    double last_sweep_ = -1e9;
     std::set<std::string> urgent_;
     std::map<std::string, job_spec> services_seen_; // largest recent replica of each class
     std::map<std::string, double> services_at_;
@@ -214,6 +237,14 @@
     double last_plan_ = -1e9, last_fleet_ = -1e9, last_rebid_ = -1e9, last_raise_ = -1e9;
     std::map<std::string, double> zone_doubt_until_; // s
     std::set<std::string> spare_;                    // machines kept as warm room
+    struct place {
+        std::string type, zone;
+        bool spot = false;
+    };
+    std::vector<place> places_;
+    std::map<std::string, std::uint32_t> image_numbers_;
+    std::map<std::string, double> stopping_; // cpus of each team about to be free, this round
+    double last_check_ = -1e9, last_names_ = -1e9;
 };
 
 } // namespace spindlecroft::control
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -1,6 +1,6 @@
 // Which machines to rent and which to give back.
 #include "constants.hpp"
-#include "control/bidder.hpp"
+#include "control/engine.hpp"
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
@@ -12,9 +12,9 @@
 namespace c = constants;
 
 // The cheapest place for such a task that was not refused of late.
-std::optional<engine::rental_offer> engine::cheapest_offer(const job_spec &s, bool spot,
-                                                           const std::set<std::string> *zones,
-                                                           double now) const {
+std::optional<rental_offer> engine::cheapest_offer(const job_spec &s, bool spot,
+                                                   const std::set<std::string> *zones,
+                                                   double now) const {
     std::optional<rental_offer> best;
     for (auto &t : types_) {
         if (!type_allowed(s, t.name))
@@ -31,7 +31,7 @@
                 continue;
             double per_slot = price / slots;
             if (!best || per_slot < best->price_per_slot * 0.999)
-                best = rental_offer{t, z, spot, slots, per_slot};
+                best = rental_offer{&t, z, spot, slots, per_slot};
         }
     }
     return best;
@@ -40,7 +40,7 @@
 void engine::rent(const rental_offer &o, int count, double now) {
     // Wishes of one round for the same kind of machine share a request.
     for (auto &[request, r] : rentals_)
-        if (r.asked_at == now && !r.busy && !r.durable && r.record.what.type == o.type.name &&
+        if (r.asked_at == now && !r.busy && !r.durable && r.record.what.type == o.type->name &&
             r.record.what.zone == o.zone && r.record.what.spot == o.spot &&
             r.record.what.count + count <= c::hosts_per_request) {
             r.record.what.count += count;
@@ -48,20 +48,20 @@
         }
     rental_state s;
     s.record.what.request = fmt::format("r-{}-{}", first_token_, ++rental_counter_);
-    s.record.what.type = o.type.name;
+    s.record.what.type = o.type->name;
     s.record.what.zone = o.zone;
     s.record.what.spot = o.spot;
     s.record.what.count = count;
     s.record.at = now + wall_offset_;
     s.asked_at = now;
-    spdlog::info("renting {} {} in {} ({})", count, o.type.name, o.zone,
+    spdlog::info("renting {} {} in {} ({})", count, o.type->name, o.zone,
                  o.spot ? "spot" : "ordinary");
     rentals_[s.record.what.request] = std::move(s);
 }
 
 void engine::fleet_for_services(std::vector<bidder> &fleet, double now) {
     auto fits_on = [&](bidder &b, const job_spec &s) {
-        return (!b.spot || s.spot) && type_allowed(s, b.type.name) &&
+        return (!b.spot || s.spot) && type_allowed(s, b.type->name) &&
                (!s.zone || *s.zone == b.zone) && b.critical.fits(s);
     };
     auto rent_for = [&](const job_spec &s, const std::set<std::string> *zones) {
@@ -74,7 +74,8 @@
         bidder b;
         b.type = offer->type;
         b.zone = offer->zone;
-        b.free = b.critical = b.whole = {offer->type.cpus, offer->type.gpus, offer->type.memory_gb};
+        b.free = b.critical =
+            b.whole = {offer->type->cpus, offer->type->gpus, offer->type->memory_gb};
         b.hold(s, 0);
         fleet.push_back(std::move(b));
         return true;
@@ -198,7 +199,7 @@
         // Work that may use spot machines waits longer before ordinary ones are paid for.
         double spare_wait = need - slots_for(settings_.ops.drain_target_s * c::ordinary_patience);
         for (auto &b : fleet)
-            while (need > 0 && type_allowed(s, b.type.name) && (!s.zone || *s.zone == b.zone) &&
+            while (need > 0 && type_allowed(s, b.type->name) && (!s.zone || *s.zone == b.zone) &&
                    (!b.spot || s.spot) && b.whole.fits(s)) {
                 b.whole.take(s);
                 --need;
@@ -221,7 +222,7 @@
             b.zone = offer->zone;
             b.spot = offer->spot;
             b.free = b.critical =
-                b.whole = {offer->type.cpus, offer->type.gpus, offer->type.memory_gb};
+                b.whole = {offer->type->cpus, offer->type->gpus, offer->type->memory_gb};
             for (; need > 0 && b.whole.fits(s); --need)
                 b.whole.take(s);
             fleet.push_back(std::move(b));
@@ -240,7 +241,9 @@
 }
 
 void engine::plan_fleet(double now) {
-    auto fleet = make_bidders(now);
+    std::vector<bidder> fleet; // copies: what is planned here is no promise
+    for (auto *b : make_bidders(now))
+        fleet.push_back(*b);
     for (auto &[request, s] : rentals_) {
         if (s.answered)
             continue;
@@ -249,7 +252,7 @@
             continue;
         for (int k = 0; k < s.record.what.count; ++k) {
             bidder b;
-            b.type = *t;
+            b.type = t;
             b.zone = s.record.what.zone;
             b.spot = s.record.what.spot;
             b.free = b.critical = b.whole = {t->cpus, t->gpus, t->memory_gb};
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -1,6 +1,6 @@
 // Bids, worker queues and starts.
 #include "constants.hpp"
-#include "control/bidder.hpp"
+#include "control/engine.hpp"
 #include "fairness/team_order.hpp"
 #include <algorithm>
 #include <spdlog/spdlog.h>
@@ -10,7 +10,7 @@
 using catalog::attempt_phase;
 namespace c = constants;
 
-void engine::bidder::hold(const job_spec &s, double remaining_s) {
+void bidder::hold(const job_spec &s, double remaining_s) {
     free.take(s);
     if (s.shape == job_shape::service) {
         whole.take(s);
@@ -21,6 +21,13 @@
         critical.take(s);
 }
 
+void bidder::fetch(std::uint32_t image) {
+    if (holds(cached, image) || holds(coming, image))
+        return;
+    coming.push_back(image);
+    ++fetches;
+}
+
 bool engine::type_allowed(const job_spec &s, const std::string &type) const {
     return !s.types || std::find(s.types->begin(), s.types->end(), type) != s.types->end();
 }
@@ -31,73 +38,104 @@
     return (prior + j.took_sum) / (1 + j.took_count);
 }
 
+std::size_t engine::place_of(const std::string &type, const std::string &zone, bool spot) {
+    for (std::size_t i = 0; i < places_.size(); ++i)
+        if (places_[i].type == type && places_[i].zone == zone && places_[i].spot == spot)
+            return i;
+    places_.push_back({type, zone, spot});
+    return places_.size() - 1;
+}
+
+std::uint32_t engine::image_number(const std::string &image) {
+    return image_numbers_.emplace(image, static_cast<std::uint32_t>(image_numbers_.size()))
+        .first->second;
+}
+
 // The job's zone rules, given its other tasks: those presumed anywhere and those queued.
-bool engine::rules_allow(const job_t &j, const machine_t &m) const {
+std::vector<char> engine::places_for(const job_t &j) const {
     auto &s = j.spec;
-    if (!type_allowed(s, m.type.name) || (s.zone && *s.zone != m.zone) || (m.spot && !s.spot))
-        return false;
-    if (!s.spread && !s.one_zone)
-        return true;
-    std::uint32_t here = 0;
-    bool elsewhere = false;
-    auto count = [&](const std::string &name) {
-        auto i = machines_.find(name);
-        if (i == machines_.end() || i->second.zone.empty()) {
+    std::map<std::string, std::uint32_t> in_zone;
+    std::uint32_t unknown = 0, all = 0;
+    if (s.spread || s.one_zone) {
+        auto count = [&](const std::string &name) {
+            ++all;
+            auto i = machines_.find(name);
             // Somewhere unknown: it counts against every zone.
-            ++here;
-            elsewhere = true;
-        } else if (i->second.zone == m.zone)
-            ++here;
-        else
-            elsewhere = true;
-    };
-    for (auto &[i, a] : j.live)
-        if (a.phase != attempt_phase::exited)
-            count(a.machine);
-    for (auto &[i, name] : j.queued)
-        count(name);
-    if (s.one_zone && elsewhere)
-        return false;
-    return !s.spread || here < j.zone_cap();
+            if (i == machines_.end() || i->second.zone.empty())
+                ++unknown;
+            else
+                ++in_zone[i->second.zone];
+        };
+        for (auto &[i, a] : j.live)
+            if (a.phase != attempt_phase::exited)
+                count(a.machine);
+        for (auto &[i, name] : j.queued)
+            count(name);
+    }
+    std::vector<char> out;
+    for (auto &p : places_) {
+        bool ok = type_allowed(s, p.type) && (!s.zone || *s.zone == p.zone) && (!p.spot || s.spot);
+        auto here = in_zone.find(p.zone);
+        std::uint32_t known = here == in_zone.end() ? 0 : here->second;
+        if (s.one_zone && known != all)
+            ok = false;
+        if (s.spread && known + unknown >= j.zone_cap())
+            ok = false;
+        out.push_back(ok);
+    }
+    return out;
 }
 
 void engine::count_usage() {
     teams_.clear_usage();
+    stopping_.clear();
     for (auto &[id, j] : jobs_) {
+        int n = static_cast<int>(j.queued.size());
         for (auto &[i, a] : j.live)
-            if (a.holds_room())
-                teams_.add(j.spec.team, j.spec);
-        for (std::size_t k = 0; k < j.queued.size(); ++k)
-            teams_.add(j.spec.team, j.spec);
+            if (a.holds_room()) {
+                ++n;
+                if (a.stop_wanted)
+                    stopping_[j.spec.team] += j.spec.cpus;
+            }
+        if (n > 0)
+            teams_.add(j.spec.team, j.spec, n);
     }
 }
 
 void engine::refresh_bidder(bidder &b, double now) {
     auto &m = *b.m;
+    m.changed = false;
+    b.refreshed_at = now;
+    b.type = &m.type;
+    b.zone = m.zone;
+    b.spot = m.spot;
+    b.place = m.place;
     b.free = b.critical = b.whole = {m.type.cpus, m.type.gpus, m.type.memory_gb};
+    b.work_s = 0;
+    b.fetches = 0;
+    b.cached.clear();
+    b.coming.clear();
+    for (auto &[image, at] : m.images)
+        b.cached.push_back(image_number(image));
     for (auto &ref : m.attempts) {
         auto *j = job_of(ref.job);
-        if (!j || !j->live.count(ref.index))
+        if (!j)
             continue;
-        auto &a = j->live[ref.index];
-        if (!a.holds_room())
+        auto i = j->live.find(ref.index);
+        if (i == j->live.end() || !i->second.holds_room())
             continue;
+        auto &a = i->second;
         double ran = a.running_since >= 0 ? now - a.running_since : 0;
         // Past its estimate: as much again as a fifth of it, rather than nothing.
-        double left = std::max(a.estimate_s - ran, 0.2 * a.estimate_s);
-        b.hold(j->spec, left);
-        if (a.phase != attempt_phase::running && a.phase != attempt_phase::saving &&
-            !m.images.count(j->spec.image)) {
-            b.coming.insert(j->spec.image);
-        }
+        b.hold(j->spec, std::max(a.estimate_s - ran, 0.2 * a.estimate_s));
+        if (a.phase != attempt_phase::running && a.phase != attempt_phase::saving)
+            b.fetch(j->image);
     }
     for (auto &t : m.queue)
         if (auto *j = job_of(t.task.job)) {
             b.hold(j->spec, t.estimate_s);
-            if (!m.images.count(j->spec.image))
-                b.coming.insert(j->spec.image);
+            b.fetch(j->image);
         }
-    b.fetches = static_cast<int>(b.coming.size());
 }
 
 double engine::boot_age(const machine_t &m, double now) const {
@@ -109,27 +147,28 @@
     return age;
 }
 
-std::vector<engine::bidder> engine::make_bidders(double now) {
-    std::vector<bidder> out;
+std::vector<bidder *> engine::make_bidders(double now) {
+    std::vector<bidder *> out;
+    out.reserve(machines_.size());
     for (auto &[name, m] : machines_) {
         if (!m.usable() || m.silent)
             continue;
         if (m.speed_samples >= c::slow_samples && m.speed < c::slow_machine)
             continue;
-        bidder b;
-        b.m = &m;
-        b.type = m.type;
-        b.name = name;
-        b.zone = m.zone;
-        b.spot = m.spot;
+        double boot_s = 0;
         if (!m.up) {
             double age = boot_age(m, now);
             if (age > c::boot_hedge * m.type.boot_s)
                 continue; // late: nothing is promised in its name
-            b.boot_s = std::max(1.0, m.type.boot_s * 1.1 - age);
+            boot_s = std::max(1.0, m.type.boot_s * 1.1 - age);
         }
-        refresh_bidder(b, now);
-        out.push_back(std::move(b));
+        auto &b = bidders_[name];
+        b.m = &m;
+        b.boot_s = boot_s;
+        // What nothing has changed on only grows older; that need not be exact.
+        if (m.changed || now - b.refreshed_at > c::bidder_age_s)
+            refresh_bidder(b, now);
+        out.push_back(&b);
     }
     return out;
 }
@@ -142,18 +181,19 @@
     return b.whole.slots(*typical_) - after.slots(*typical_);
 }
 
-bool engine::bid_once(job_t &j, std::vector<bidder> &bidders, double now) {
+bool engine::bid_once(job_t &j, std::vector<bidder *> &bidders, double now) {
     auto &s = j.spec;
     double expected = expected_s(j);
+    auto places = places_for(j);
     bidder *best = nullptr;
     double best_finish = 0, best_queued = 0;
     bool critical = s.rank == priority::critical;
-    for (auto &b : bidders) {
-        if (!b.m || now < b.m->refused_until)
-            continue;
-        if (j.failed_on.count(b.name) && j.failed_on.size() < bidders.size())
+    bool some_failed = !j.failed_on.empty() && j.failed_on.size() < bidders.size();
+    for (auto *bp : bidders) {
+        auto &b = *bp;
+        if (!places[b.place] || now < b.m->refused_until)
             continue;
-        if (!rules_allow(j, *b.m))
+        if (some_failed && j.failed_on.count(b.m->name))
             continue;
         bool preempting = false;
         if (s.shape == job_shape::service || critical) {
@@ -162,11 +202,13 @@
             if (!room.fits(s))
                 continue;
             preempting = !b.free.fits(s);
-        } else if (b.whole.slots(s) < 1) {
+        } else if (!b.whole.fits(s)) {
             continue;
         }
-        auto offer = bidding::make_bid(*b.m, s, b.free, b.whole, preempting ? 0 : b.work_s,
-                                       b.boot_s, expected, b.coming.count(s.image) > 0, b.fetches);
+        auto offer = bidding::make_bid(
+            b.m->speed, b.type->fetch_gb_per_s, s, b.free, b.whole, preempting ? 0 : b.work_s,
+            b.boot_s, expected,
+            bidder::holds(b.cached, j.image) || bidder::holds(b.coming, j.image), b.fetches);
         if (offer.queued_s > c::queue_limit_s)
             continue;
         double finish = offer.finish_s();
@@ -183,7 +225,7 @@
     }
     bool first = false;
     if ((!best || best_queued > c::guarantee_wait_s) && teams_.within_guarantee(s))
-        if (auto *b = make_way(j, bidders, now)) {
+        if (auto *b = make_way(j, places, bidders, now)) {
             best = b;
             first = true;
         }
@@ -200,71 +242,90 @@
     auto at = std::find_if(q.begin(), q.end(),
                            [&](auto &x) { return first ? x.rank >= s.rank : x.rank > s.rank; });
     q.insert(at, t);
-    j.queued[index] = best->name;
+    j.queued[index] = best->m->name;
     best->hold(s, estimate);
-    if (!best->m->images.count(s.image) && best->coming.insert(s.image).second)
-        ++best->fetches;
+    best->fetch(j.image);
     teams_.add(s.team, s);
     return true;
 }
 
 // A team's guaranteed work finds no room soon: the latest work that another team runs beyond its
 // own guarantee is stopped for it (PROTOCOL, "Preemption").
-engine::bidder *engine::make_way(const job_t &j, std::vector<bidder> &bidders, double now) {
+bidder *engine::make_way(const job_t &j, const std::vector<char> &places,
+                         const std::vector<bidder *> &bidders, double now) {
     auto &s = j.spec;
-    std::map<std::string, double> stopping; // cpus of each team that are about to be free
-    for (auto &[id, other] : jobs_)
-        for (auto &[i, a] : other.live)
-            if (a.stop_wanted && a.holds_room())
-                stopping[other.spec.team] += other.spec.cpus;
+    // Most of the time nobody is beyond its guarantee; then no machine need be looked at.
+    auto beyond = [&](const std::string &team) {
+        auto *t = teams_.find(team);
+        auto i = stopping_.find(team);
+        return teams_.used(team).cpus - (i == stopping_.end() ? 0 : i->second) - (t ? t->cpus : 0);
+    };
+    bool any = false;
+    for (auto &t : settings_.teams)
+        any = any || (t.name != s.team && beyond(t.name) >= s.cpus);
+    if (!any)
+        return nullptr;
     bidder *at = nullptr;
     attempt_t *victim = nullptr;
-    for (auto &b : bidders) {
-        if (!b.m || !b.m->up || now < b.m->refused_until || j.failed_on.count(b.name) ||
-            !rules_allow(j, *b.m))
+    for (auto *b : bidders) {
+        if (!b->m->up || !places[b->place] || now < b->m->refused_until ||
+            j.failed_on.count(b->m->name))
             continue;
-        for (auto &ref : b.m->attempts) {
+        for (auto &ref : b->m->attempts) {
             auto *other = job_of(ref.job);
-            if (!other || other->spec.team == s.team || other->spec.shape != job_shape::array ||
-                !other->live.count(ref.index))
+            if (!other || other->spec.team == s.team || other->spec.shape != job_shape::array)
+                continue;
+            auto i = other->live.find(ref.index);
+            if (i == other->live.end())
                 continue;
-            auto &a = other->live[ref.index];
+            auto &a = i->second;
             auto &o = other->spec;
             if (!a.present() || a.stop_wanted || o.cpus < s.cpus || o.gpus < s.gpus ||
-                o.memory_gb < s.memory_gb)
-                continue;
-            auto *team = teams_.find(o.team);
-            double beyond = teams_.used(o.team).cpus - stopping[o.team] - (team ? team->cpus : 0);
-            if (beyond < o.cpus)
+                o.memory_gb < s.memory_gb || beyond(o.team) < o.cpus)
                 continue;
             if (!victim || a.created_at > victim->created_at) {
                 victim = &a;
-                at = &b;
+                at = b;
             }
         }
     }
-    if (victim)
-        stop_attempt(*victim, grace_of(job_of(victim->task.job)->spec), now);
+    if (victim) {
+        auto &o = job_of(victim->task.job)->spec;
+        stopping_[o.team] += o.cpus;
+        stop_attempt(*victim, grace_of(o), now);
+    }
     return at;
 }
 
-// A machine stood idle while tasks wait in queues elsewhere: those are bid again.
+// A machine stood idle while tasks wait in queues elsewhere: as many of those as the idle machines
+// could hold are bid again, from the ends of the longest queues.
 void engine::rebid(double now) {
     if (now - last_rebid_ < c::idle_rebid_s)
         return;
-    bool waiting = false, idle = false;
+    double idle_cpus = 0;
+    std::vector<std::pair<double, machine_t *>> waiting;
     for (auto &[name, m] : machines_) {
-        if (!m.queue.empty())
-            waiting = true;
-        else if (m.up && m.usable())
-            idle = true;
+        if (!m.queue.empty()) {
+            double work = 0;
+            for (auto &t : m.queue)
+                work += t.estimate_s;
+            waiting.emplace_back(work / std::max(1.0, m.type.cpus), &m);
+        } else if (m.up && m.usable() && !m.silent && m.attempts.empty()) {
+            idle_cpus += m.type.cpus;
+        }
     }
-    if (!waiting || !idle)
+    if (waiting.empty() || idle_cpus <= 0)
         return;
     last_rebid_ = now;
-    for (auto &[name, m] : machines_)
-        if (!m.queue.empty())
-            unqueue(m);
+    std::sort(waiting.begin(), waiting.end(), [](auto &a, auto &b) { return a.first > b.first; });
+    for (auto &[work, m] : waiting) {
+        if (idle_cpus <= 0)
+            break;
+        for (auto &t : m->queue)
+            if (auto *j = job_of(t.task.job))
+                idle_cpus -= j->spec.cpus;
+        unqueue(*m);
+    }
 }
 
 fairness::waiting_job engine::urgency_of(const job_t &j, double now) const {
@@ -312,7 +373,7 @@
             if (auto *t = teams_.find(name); t && t->cpus_max > 0 && first.cpus > 0)
                 limit = t->cpus_max / first.cpus;
             for (auto &b : bidders)
-                slots += b.whole.slots(first);
+                slots += b->whole.slots(first);
             for (auto &x : list)
                 waiting.push_back(urgency_of(*x.job, now));
             std::vector<candidate> sorted;
@@ -354,11 +415,12 @@
     bool stopping = false;
     for (auto &ref : m.attempts) {
         auto *j = job_of(ref.job);
-        if (!j || !j->live.count(ref.index))
+        if (!j)
             continue;
-        auto &a = j->live[ref.index];
-        if (!a.holds_room())
+        auto i = j->live.find(ref.index);
+        if (i == j->live.end() || !i->second.holds_room())
             continue;
+        auto &a = i->second;
         room.take(j->spec);
         if (a.stop_wanted)
             stopping = true;
@@ -394,6 +456,7 @@
             return;
         }
         m.queue.pop_front();
+        m.changed = true;
         j->queued.erase(t.task.index);
         room.take(j->spec);
         attempt_t a;
@@ -405,7 +468,7 @@
         m.attempts.insert(a.task);
         m.idle_since = now;
         j->live[t.task.index] = std::move(a);
-        j->placed_dirty.insert(static_cast<std::uint32_t>(t.task.index / c::chunk_placed));
+        unplaced_[j->spec.shape == job_shape::service].push_back(t.task);
     }
 }
 
@@ -497,9 +560,12 @@
 void engine::tick(double now) {
     if (!ready_)
         return;
-    check_leases(now);
-    check_cancelled(now);
-    check_machines(now);
+    if (now - last_check_ >= c::check_gap_s) {
+        last_check_ = now;
+        check_leases(now);
+        check_cancelled(now);
+        check_machines(now);
+    }
     if ((dirty_ && now - last_plan_ >= c::plan_gap_s) || now - last_plan_ >= 1.0) {
         dirty_ = false;
         last_plan_ = now;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -135,6 +135,7 @@
 awaitable<reply> client::call(std::string method, std::string target, std::string body,
                               double timeout_s, bool cbor) {
     reply r;
+    used_at_ = now_s();
     boost::system::error_code ec;
     std::unique_ptr<connection> c;
     if (!idle_.empty()) {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -68,13 +68,14 @@
     ~client();
     awaitable<reply> call(std::string method, std::string target, std::string body,
                           double timeout_s, bool cbor = false);
-    const settings::address &to() const { return to_; }
+    double used_at() const { return used_at_; } // s; when it was last called
 
   private:
     struct connection;
     asio::io_context &io_;
     settings::address to_;
     std::size_t idle_limit_;
+    double used_at_ = now_s();
     std::list<std::unique_ptr<connection>> idle_;
 };
 
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -18,14 +18,17 @@
     std::vector<std::size_t> chosen;
     std::set<std::string> keys;
     int ops = 0;
-    std::size_t bytes = 0;
+    std::size_t bytes = 0, conditions = 1; // one for the fence
+    // Four times as many conditions as changes may go into one transaction.
+    auto most_conditions = 4 * static_cast<std::size_t>(max_ops);
     for (auto i : order) {
         auto &u = waiting[i];
         std::size_t size = 0;
         for (auto &o : u.ops)
             size += o.key.size() + o.value.size() + 64;
         int n = static_cast<int>(u.ops.size());
-        if (!chosen.empty() && (ops + n > max_ops || bytes + size > max_bytes))
+        if (!chosen.empty() && (ops + n > max_ops || bytes + size > max_bytes ||
+                                conditions + u.when.size() + u.ops.size() > most_conditions))
             continue;
         // A key that one unit of the transaction writes is not touched by another.
         bool clash = false;
@@ -40,6 +43,7 @@
         chosen.push_back(i);
         ops += n;
         bytes += size;
+        conditions += u.when.size() + u.ops.size();
         if (ops >= max_ops)
             break;
     }
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -95,12 +95,16 @@
 std::string encode_ended(const ended_record &r);
 ended_record parse_ended(const std::string &value);
 struct placed_task {
+    std::string job;
     std::uint32_t index = 0;
     std::uint64_t attempt = 0;
     std::string machine;
     bool operator==(const placed_task &) const = default;
 };
+// Placements of any jobs, by job.
 std::string encode_placed(const std::vector<placed_task> &tasks);
+// At most so many bytes does one more placement add.
+std::size_t placed_bytes(const placed_task &t);
 std::vector<placed_task> parse_placed(const std::string &value);
 std::string encode_done_bits(const std::vector<bool> &bits);
 std::vector<bool> parse_done_bits(const std::string &value);
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -44,6 +44,8 @@
     std::deque<queued_task> queue;        // won, not yet placed
     std::map<std::string, double> images; // cached, with the time of last use
     std::map<std::string, double> image_gb;
+    std::size_t place = 0;     // number of its type, zone and kind: job rules don't tell more apart
+    bool changed = true;       // what it holds is not yet in its bidder
     std::vector<order> strays; // orders for tasks that nobody should have
 
     double speed = 1.0; // measured, relative to what was expected
