--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -82,6 +82,7 @@
 inline constexpr std::size_t ended_in_memory = 4000; // ended jobs whose state is kept at hand
 
 // --- workers ---
+inline constexpr double worker_patience_s = 4.0; // s; a worker drops an answer that comes later
 inline constexpr double silent_reports =
     3.0; // report intervals without a word before a machine is silent
 inline constexpr double silent_margin_s =
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -1,7 +1,6 @@
 #include "control/controller.hpp"
 #include "constants.hpp"
 #include <chrono>
-#include <ctime>
 #include <fmt/format.h>
 
 namespace spindlecroft::control {
@@ -16,10 +15,6 @@
         .count();
 }
 
-static double cpu_s() {
-    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
-}
-
 struct controller::leadership {
     leadership(net::asio::io_context &io, store::state_client &state, const settings::settings &s)
         : commits(io, state, s, "leader"), wake(io) {}
@@ -568,7 +563,6 @@
 // Drives the engine: time in, decisions out.
 awaitable<void> controller::pump(std::shared_ptr<leadership> l) {
     double next_summary = now_s() + c::summary_gap_s, next_look = 0;
-    double cpu_before = cpu_s();
     while (in_charge(l)) {
         auto &core = *l->core;
         double now = now_s();
@@ -609,11 +603,8 @@
             std::erase_if(l->workers, [&](auto &w) {
                 return w.second.use_count() == 1 && now - w.second->used_at() > c::summary_gap_s;
             });
-            double cpu = cpu_s();
-            spdlog::info(
-                "{}; {} writes waiting; {} reports, {} commands, {:.2f} s of processor time",
-                core.summary(), l->commits.waiting(), l->reports, l->commands, cpu - cpu_before);
-            cpu_before = cpu;
+            spdlog::info("{}; {} writes waiting; {} reports, {} commands", core.summary(),
+                         l->commits.show_waiting(), l->reports, l->commands);
             l->reports = l->commands = 0;
         }
         co_await net::sleep_s(0.02);
@@ -765,7 +756,7 @@
                 l->core->command_resolved(machine);
             starts = false;
             if (report.machine == machine)
-                l->core->on_report(report, now_s());
+                l->core->on_report(report, now_s(), true);
         } catch (const wire::bad_message &e) {
             spdlog::warn("{}: {}", machine, e.what());
         }
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -300,7 +300,7 @@
 
 // --- reports ---
 
-engine::report_age engine::on_report(const worker_report &r, double now) {
+engine::report_age engine::on_report(const worker_report &r, double now, bool reply) {
     if (removed_.count(r.machine))
         return report_age::dead;
     auto &m = machine_of(r.machine, now);
@@ -309,6 +309,11 @@
         return r.session == m.session ? report_age::stale : report_age::dead;
     bool first = !m.up;
     bool new_session = m.heard_at >= 0 && r.session > m.session;
+    // Guards against ran_twice: the reply to a direct command may overtake an answer that carries a
+    // start, and then does not show a task that the answer will yet begin. Only the worker's next
+    // report of its own comes after that answer.
+    if (!reply && (r.session > m.answer_session || r.seq > m.answer_seq))
+        m.answer_until = -1;
     m.session = r.session;
     m.seq = r.seq;
     m.token = r.token;
@@ -342,7 +347,8 @@
         }
         auto &a = i->second;
         // A session that ended took every task with it, and commands of it are refused.
-        if (new_session && a.present())
+        // What an earlier leader placed, we can't tell in which session; its order may yet arrive.
+        if (new_session && a.present() && !a.inherited)
             drop_attempt(*j, ref.index, true);
         else
             task_missing(m, *j, a, r, now);
@@ -559,8 +565,8 @@
             drop_attempt(j, index, true);
         return;
     case attempt_phase::sent:
-        if (m.tainted())
-            return; // a direct command may still arrive
+        if (m.tainted(now))
+            return; // an order may still arrive
         if (a.inherited) {
             // Once the worker has seen our token, no start of an earlier leader can arrive.
             if (r.token >= first_token_)
@@ -579,11 +585,10 @@
     case attempt_phase::fetching:
     case attempt_phase::running:
     case attempt_phase::saving:
-        if (!m.tainted())
+        if (!m.tainted(now))
             drop_attempt(j, index, true);
         return;
     }
-    (void)now;
 }
 
 void engine::task_done(job_t &j, std::uint32_t index, double now) {
@@ -607,7 +612,7 @@
 std::vector<order> engine::orders(machine_t &m, bool in_answer, double now) {
     std::vector<order> out;
     // A start that may still arrive must not follow a reap: it would start the attempt anew.
-    bool forgetting = !m.tainted();
+    bool forgetting = !m.tainted(now);
     if (in_answer || forgetting)
         for (auto &o : m.strays)
             if (o.kind != order_kind::forget || forgetting)
@@ -653,8 +658,12 @@
             break;
         }
     }
+    if (in_answer && !starts.empty()) {
+        m.answer_session = m.session;
+        m.answer_seq = m.seq;
+        m.answer_until = now + c::worker_patience_s * (1 + c::clock_drift) + c::lease_slack_s;
+    }
     out.insert(out.end(), starts.begin(), starts.end());
-    (void)now;
     return out;
 }
 
@@ -704,7 +713,7 @@
     if (now - last_raise_ < c::token_bump_s)
         return false;
     for (auto &[name, m] : machines_)
-        if (m.commands_open == 0 && m.tainted() && m.unresolved_token >= token_) {
+        if (m.commands_open == 0 && m.command_may_come() && m.unresolved_token >= token_) {
             last_raise_ = now;
             return true;
         }
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -87,7 +87,8 @@
         stale, // of the current session, but a newer message came before it
         dead,  // of an earlier session, or of a machine that is gone
     };
-    report_age on_report(const worker_report &r, double now);
+    // reply: it came in the answer to a direct command, not as a report of its own.
+    report_age on_report(const worker_report &r, double now, bool reply = false);
     // Orders to give in the answer to the newest report.
     std::vector<order> orders_in_answer(const std::string &machine, double now);
     // The answer was given: the worker's lease may now last until then.
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -39,6 +39,10 @@
     // token, or has a newer session.
     int commands_open = 0;
     std::uint64_t unresolved_token = 0, unresolved_session = 0;
+    // An answer that carries starts and may still be on its way to the worker, who has one report
+    // in flight at a time: its next report shows that the answer came or never will.
+    std::uint64_t answer_session = 0, answer_seq = 0;
+    double answer_until = -1; // s; the worker drops the answer from then on
 
     std::set<catalog::task_ref> attempts; // not proven gone
     std::deque<queued_task> queue;        // won, not yet placed
@@ -55,10 +59,15 @@
     double idle_since = 0;
     double refused_until = 0; // a start was refused for lack of room
 
-    bool tainted() const {
+    bool command_may_come() const {
         return commands_open > 0 ||
                (unresolved_token > 0 && token <= unresolved_token && session <= unresolved_session);
     }
+    bool answer_may_come(double now) const {
+        return now < answer_until && session == answer_session;
+    }
+    // A start may still arrive: what is missing is not gone, and nothing may be reaped.
+    bool tainted(double now) const { return command_may_come() || answer_may_come(now); }
     bool usable() const { return !deleting && !quarantined && doomed_at < 0 && known_type; }
     void use_image(const std::string &image, double gb, double now);
 };
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -218,7 +218,7 @@
             orders(core->orders_in_command(names.at(0), now));
         } else if (verb == "command-answered") {
             core->command_resolved(names.at(0));
-            core->on_report(report(names.at(0), f), now);
+            core->on_report(report(names.at(0), f), now, true);
         } else if (verb == "command-lost") {
             core->command_unresolved(names.at(0), core->token(),
                                      std::stoull(get(f, "session", "1")));
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -303,7 +303,7 @@
                 *answered = true;
                 if (starts_in)
                     leader->command_resolved(name);
-                leader->on_report(r, now);
+                leader->on_report(r, now, true);
             });
         };
         at(now + (chance(0.15) ? real(1, 40) : delay()), *arrive);
