--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -63,7 +63,7 @@
 // --- state service ---
 inline constexpr double state_share =
     0.9; // share of the limits that all nodes together plan to use
-inline constexpr double leader_write_share = 0.7; // share of the writes that the leader may use
+inline constexpr double leader_write_share = 0.85; // share of the writes that the leader may use
 inline constexpr double commit_gap_s = 0.03;  // s; a transaction waits this long for others to join
 inline constexpr double fence_gap_s = 0.15;   // s; between two shared reads for waiting polls
 inline constexpr double watch_gap_s = 0.10;   // s; between two openings of the long watch
@@ -77,8 +77,7 @@
     1.5; // s; a done record waits this long for more tasks of its job
 inline constexpr double sweep_gap_s =
     2.0; // s; between two searches for placement records that ended
-inline constexpr double names_gap_s =
-    20.0; // s; a rental's record is rewritten at most this often for machines that are gone
+inline constexpr std::size_t rentals_per_record = 16; // requests; about 1.5 KiB
 inline constexpr std::size_t ended_in_memory = 4000; // ended jobs whose state is kept at hand
 
 // --- workers ---
@@ -105,7 +104,7 @@
     2.0; // s; what is left of running work is worked out anew at least this often
 inline constexpr double check_gap_s =
     0.3; // s; between two looks over all machines for leases, silence and late cancels
-inline constexpr double queue_limit_s = 120.0; // s; a worker queue holds this much estimated work
+inline constexpr double queue_limit_s = 20.0; // s; a worker queue holds this much estimated work
 inline constexpr double idle_rebid_s = 1.0; // s; a machine idle for this long has tasks bid again
 inline constexpr double speed_gain = 0.15;  // weight of the newest measurement of a machine's speed
 inline constexpr double class_gain = 0.1; // weight of the newest measurement of a class's estimates
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -17,9 +17,11 @@
 
 struct controller::leadership {
     leadership(net::asio::io_context &io, store::state_client &state, const settings::settings &s)
-        : commits(io, state, s, "leader"), wake(io) {}
+        : commits(io, state, s, "leader"), records(io, state, s, "records"), wake(io) {}
     std::unique_ptr<engine> core; // once the records are read
-    store::committer commits;
+    // What a start or a rental waits for must not queue behind what can wait: one writes placements,
+    // rentals and types, the other what has ended. No key is written by both.
+    store::committer commits, records;
     net::signal wake;
     bool over = false;
     std::set<std::string> commanding;
@@ -435,7 +437,8 @@
     deposed();
     auto l = std::make_shared<leadership>(io_, state_, settings_);
     lead_ = l;
-    l->commits.fence = [this, l = std::weak_ptr<leadership>(l)]() -> std::optional<txn_condition> {
+    l->commits.fence = l->records.fence =
+        [this, l = std::weak_ptr<leadership>(l)]() -> std::optional<txn_condition> {
         auto k = l.lock();
         if (!k || !in_charge(k))
             return std::nullopt;
@@ -449,6 +452,7 @@
         return;
     lead_->over = true;
     lead_->commits.stop();
+    lead_->records.stop();
     lead_->wake.notify();
     lead_.reset();
 }
@@ -511,7 +515,7 @@
     std::string job;
     std::uint32_t chunk = 0;
     for (auto &i : done->items) {
-        l->commits.set_version(i.key, i.version);
+        l->records.set_version(i.key, i.version);
         if (split(i.key, done_prefix, job, chunk))
             core->load_done(job, chunk, wire::parse_done_bits(i.value));
     }
@@ -522,7 +526,8 @@
     }
     for (auto &i : rentals->items) {
         l->commits.set_version(i.key, i.version);
-        core->load_rental(wire::parse_rental_record(i.value), now);
+        core->load_rental(i.key.substr(std::string(rental_prefix).size()),
+                          wire::parse_rental_record(i.value), now);
     }
     core->loaded(now);
     l->commits.set_version(types_key, types_version);
@@ -541,6 +546,9 @@
     net::spawn(
         io_, [](std::shared_ptr<leadership> l) -> awaitable<void> { co_await l->commits.run(); }(l),
         "commits");
+    net::spawn(
+        io_, [](std::shared_ptr<leadership> l) -> awaitable<void> { co_await l->records.run(); }(l),
+        "records");
     net::spawn(io_, watch_cloud(l), "cloud");
     co_await pump(l);
 }
@@ -568,7 +576,7 @@
         double now = now_s();
         core.tick(now);
         auto most = static_cast<std::size_t>(settings_.txn_ops);
-        auto waiting = l->commits.waiting();
+        auto waiting = l->records.waiting();
         for (auto &w : core.take_writes(now, waiting < most ? most - waiting : 0)) {
             store::unit u;
             u.owned = true;
@@ -581,7 +589,9 @@
                 l->core->on_written(w, how == store::unit_outcome::committed, revision, now_s());
                 l->wake.notify();
             };
-            l->commits.submit(std::move(u));
+            bool ended = w.ops.front().key.starts_with(jobs_prefix) ||
+                         w.ops.front().key.starts_with(done_prefix);
+            (ended ? l->records : l->commits).submit(std::move(u));
         }
         for (auto &r : core.take_rentals(now))
             net::spawn(io_, rent(l, r), "rent");
@@ -603,8 +613,8 @@
             std::erase_if(l->workers, [&](auto &w) {
                 return w.second.use_count() == 1 && now - w.second->used_at() > c::summary_gap_s;
             });
-            spdlog::info("{}; {} writes waiting; {} reports, {} commands", core.summary(),
-                         l->commits.show_waiting(), l->reports, l->commands);
+            spdlog::info("{}; {} and {} writes waiting; {} reports, {} commands", core.summary(),
+                         l->commits.waiting(), l->records.waiting(), l->reports, l->commands);
             l->reports = l->commands = 0;
         }
         co_await net::sleep_s(0.02);
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -22,8 +22,8 @@
 std::string done_key(const std::string &job, std::uint32_t chunk) {
     return fmt::format("{}{}/{}", done_prefix, job, chunk);
 }
-std::string rental_key(const std::string &request) {
-    return rental_prefix + request;
+std::string rental_key(const std::string &round) {
+    return rental_prefix + round;
 }
 
 engine::engine(const settings::settings &s, std::vector<machine_type> types)
@@ -170,18 +170,15 @@
     }
 }
 
-void engine::load_rental(const wire::rental_record &r, double now) {
-    double age_s = std::max(0.0, now + wall_offset_ - r.at);
-    auto &s = rentals_[r.what.request];
-    s.record = r;
-    s.asked_at = now - age_s;
-    s.durable = true;
-    s.dirty = false;
-    s.answered = s.names_written = !r.machines.empty();
-    for (auto &name : r.machines) {
-        auto &m = machine_of(name, now);
-        m.rented_at = now - age_s;
-        set_type(m, r.what.type, r.what.zone, r.what.spot, "");
+// The cloud is asked once more, and tells the machines' names.
+void engine::load_rental(const std::string &round, const wire::rental_record &r, double now) {
+    rental_rounds_[round].written = true;
+    for (auto &q : r.requests) {
+        auto &s = rentals_[q.request];
+        s.what = q;
+        s.round = round;
+        s.asked_at = now - std::max(0.0, now + wall_offset_ - r.at);
+        s.durable = true;
     }
 }
 
@@ -771,10 +768,6 @@
     removed_[name] = now;
     urgent_.erase(name);
     dirty_ = true;
-    for (auto &[request, s] : rentals_)
-        if (s.answered && std::find(s.record.machines.begin(), s.record.machines.end(), name) !=
-                              s.record.machines.end())
-            s.dirty = true;
 }
 
 void engine::want_delete(machine_t &m, const char *why) {
@@ -867,7 +860,9 @@
     for (auto &[request, s] : rentals_)
         if (s.durable && !s.asking && !s.answered && s.next_try <= now) {
             s.asking = true;
-            out.push_back(s.record.what);
+            spdlog::info("renting {} {} in {} ({})", s.what.count, s.what.type, s.what.zone,
+                         s.what.spot ? "spot" : "ordinary");
+            out.push_back(s.what);
         }
     return out;
 }
@@ -880,19 +875,18 @@
     auto &s = i->second;
     s.asking = false;
     s.answered = true;
-    s.record.machines = machines;
-    s.dirty = true;
+    s.machines = machines;
     for (auto &name : machines) {
         if (removed_.count(name))
             continue;
         auto &m = machine_of(name, now);
-        set_type(m, s.record.what.type, s.record.what.zone, s.record.what.spot, "");
+        set_type(m, s.what.type, s.what.zone, s.what.spot, "");
         if (!m.up)
             m.rented_at = std::min(m.rented_at, s.asked_at);
     }
-    if (static_cast<int>(machines.size()) < s.record.what.count)
-        refused_[fmt::format("{}|{}|{}", s.record.what.type, s.record.what.zone,
-                             s.record.what.spot)] = now + c::refused_capacity_s;
+    if (static_cast<int>(machines.size()) < s.what.count)
+        refused_[fmt::format("{}|{}|{}", s.what.type, s.what.zone, s.what.spot)] =
+            now + c::refused_capacity_s;
     dirty_ = true;
 }
 
@@ -901,12 +895,11 @@
     if (i == rentals_.end())
         return;
     auto &s = i->second;
-    refused_[fmt::format("{}|{}|{}", s.record.what.type, s.record.what.zone, s.record.what.spot)] =
+    refused_[fmt::format("{}|{}|{}", s.what.type, s.what.zone, s.what.spot)] =
         now + c::refused_capacity_s;
     s.asking = false;
-    s.answered = true; // with no machines: its record is dropped
-    s.record.machines.clear();
-    s.dirty = true;
+    s.answered = true; // with no machines
+    s.machines.clear();
     last_fleet_ = -1e9; // look for another offer at once
 }
 
@@ -969,7 +962,7 @@
             std::set<std::string> jobs;
             std::deque<catalog::task_ref> later;
             bool full = false;
-            while (!waiting.empty() && !full) {
+            while (!waiting.empty()) {
                 auto ref = waiting.front();
                 auto *j = job_of(ref.job);
                 auto i = j ? j->live.find(ref.index) : decltype(j->live.end()){};
@@ -984,8 +977,9 @@
                     continue;
                 }
                 wire::placed_task t{ref.job, ref.index, i->second.number, i->second.machine};
-                full = seg.bytes + wire::placed_bytes(t) > most_bytes ||
-                       (!jobs.count(ref.job) && jobs.size() >= most_jobs);
+                if (!jobs.count(ref.job) && jobs.size() >= most_jobs)
+                    break; // as many conditions as one transaction takes
+                full = seg.bytes + wire::placed_bytes(t) > most_bytes;
                 if (full)
                     break;
                 waiting.pop_front();
@@ -1017,6 +1011,44 @@
     cleanup_.push_back(std::move(w));
 }
 
+// One record for all requests of a round, written before the cloud is asked. It is dropped when
+// every machine is in a list, or gone: until then the next leader has to ask again for the names,
+// or it would rent as many once more.
+void engine::write_rentals(std::vector<durable_write> &out) {
+    std::map<std::string, std::vector<rental_state *>> rounds;
+    for (auto &[request, s] : rentals_)
+        rounds[s.round].push_back(&s);
+    for (auto &[name, list] : rounds) {
+        auto &round = rental_rounds_[name];
+        if (round.busy)
+            continue;
+        durable_write w;
+        w.kind = write_kind::rental;
+        w.rental = name;
+        if (!round.written) {
+            wire::rental_record r;
+            r.at = list.front()->asked_at + wall_offset_;
+            for (auto *s : list)
+                r.requests.push_back(s->what);
+            w.ops.push_back({rental_key(name), wire::encode_rental_record(r), 0});
+        } else {
+            bool open = false;
+            for (auto *s : list) {
+                std::erase_if(s->machines, [&](auto &n) {
+                    auto m = machines_.find(n);
+                    return m == machines_.end() || m->second.listed_at >= 0;
+                });
+                open = open || !s->answered || !s->machines.empty();
+            }
+            if (open)
+                continue;
+            w.ops.push_back({rental_key(name), "", 0});
+        }
+        round.busy = true;
+        out.push_back(std::move(w));
+    }
+}
+
 // Records whose placements have all ended are dropped.
 void engine::sweep_segments(double now) {
     if (now - last_sweep_ < c::sweep_gap_s)
@@ -1094,34 +1126,7 @@
             room -= room > 0;
         }
     }
-    for (auto &[request, s] : rentals_) {
-        if (!s.dirty || s.busy)
-            continue;
-        // Names of machines that are gone are struck out: the next leader would take them for
-        // machines that are still booting, and queue work for them. That can wait for more.
-        auto gone = [&](auto &n) { return !machines_.count(n); };
-        auto &names = s.record.machines;
-        auto lost = s.answered ? std::count_if(names.begin(), names.end(), gone) : 0;
-        bool all_gone = s.answered && lost == static_cast<std::ptrdiff_t>(names.size());
-        if (s.names_written && !all_gone) {
-            if (lost == 0)
-                s.dirty = false;
-            if (lost == 0 || now - s.written_at < c::names_gap_s)
-                continue;
-        }
-        if (s.answered)
-            std::erase_if(names, gone);
-        s.written_at = now;
-        s.names_written = s.answered;
-        durable_write w;
-        w.kind = write_kind::rental;
-        w.rental = request;
-        w.ops.push_back(
-            {rental_key(request), all_gone ? "" : wire::encode_rental_record(s.record), 0});
-        s.dirty = false;
-        s.busy = true;
-        out.push_back(std::move(w));
-    }
+    write_rentals(out);
     while (!cleanup_.empty() && room > 0) {
         out.push_back(std::move(cleanup_.back()));
         cleanup_.pop_back();
@@ -1155,18 +1160,24 @@
 void engine::on_written(const durable_write &w, bool ok, std::uint64_t, double now) {
     dirty_ = true;
     if (w.kind == write_kind::rental) {
-        auto i = rentals_.find(w.rental);
-        if (i == rentals_.end())
+        auto i = rental_rounds_.find(w.rental);
+        if (i == rental_rounds_.end())
             return;
-        auto &s = i->second;
-        s.busy = false;
-        if (!ok) {
-            s.dirty = true;
-            s.names_written = false;
-        } else if (w.ops.front().value.empty())
-            rentals_.erase(i);
-        else
-            s.durable = true;
+        i->second.busy = false;
+        if (!ok)
+            return; // written again
+        bool dropped = w.ops.front().value.empty();
+        i->second.written = true;
+        for (auto r = rentals_.begin(); r != rentals_.end();) {
+            if (r->second.round != w.rental) {
+                ++r;
+                continue;
+            }
+            r->second.durable = true;
+            r = dropped ? rentals_.erase(r) : std::next(r);
+        }
+        if (dropped)
+            rental_rounds_.erase(i);
         return;
     }
     if (w.kind == write_kind::placed) {
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -24,7 +24,7 @@
 std::string ended_key(const std::string &job);
 std::string placed_key(const std::string &segment);
 std::string done_key(const std::string &job, std::uint32_t chunk);
-std::string rental_key(const std::string &request);
+std::string rental_key(const std::string &round);
 inline constexpr const char *active_prefix = "j/a/";
 inline constexpr const char *ended_prefix = "j/e/";
 inline constexpr const char *jobs_prefix = "j/";
@@ -46,20 +46,18 @@
     std::string segment;             // placed: the record's name
     std::vector<std::pair<catalog::task_ref, std::uint64_t>> attempts; // placed: newly covered
     std::vector<std::uint32_t> done;                                   // done: newly covered
-    std::string rental;                                                // rental: the request's name
+    std::string rental;                                                // rental: the round's name
 };
 
 struct rental_state {
-    wire::rental_record record;
+    rental what;
+    std::string round;     // the record that names it
     double asked_at = 0;   // s, steady clock; when the intent arose
     bool durable = false;  // the name is written: the cloud may be asked
     bool asking = false;   // a request is under way
     bool answered = false; // machines are known
-    bool names_written = false;
-    bool dirty = true, busy = false; // its record is to be written, is being written
-    double next_try = 0;             // s
-    double written_at = -1e9;        // s
-    int refusals = 0;
+    std::vector<std::string> machines; // not yet listed
+    double next_try = 0;               // s
 };
 
 class engine {
@@ -74,7 +72,7 @@
     void load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits);
     void load_placed(const std::string &segment, const std::vector<wire::placed_task> &tasks,
                      double now);
-    void load_rental(const wire::rental_record &r, double now);
+    void load_rental(const std::string &round, const wire::rental_record &r, double now);
     void loaded(double now);
 
     // --- events ---
@@ -200,6 +198,7 @@
     void write_placements(std::vector<durable_write> &out, double now);
     void sweep_segments(double now);
     void clean_up(const std::string &key);
+    void write_rentals(std::vector<durable_write> &out);
 
     settings::settings settings_;
     std::vector<machine_type> types_;
@@ -209,6 +208,10 @@
     std::map<std::string, machine_t> machines_;
     std::map<std::string, bidder> bidders_; // of machines, as last worked out
     std::map<std::string, rental_state> rentals_;
+    struct rental_round {
+        bool written = false, busy = false;
+    };
+    std::map<std::string, rental_round> rental_rounds_;
     std::map<std::string, double> removed_; // machines that are gone, with the time
     std::map<std::string, double> refused_; // offers without capacity, until when
     std::vector<durable_write> cleanup_;
@@ -231,7 +234,8 @@
 
     std::uint64_t token_ = 0, first_token_ = 0;
     std::uint64_t counter_ = 0;
-    std::uint64_t rental_counter_ = 0;
+    std::uint64_t rental_counter_ = 0, rental_round_ = 0;
+    double rental_round_at_ = -1e9; // s
     double began_ = 0, wall_offset_ = 0;
     bool ready_ = false;
     bool dirty_ = true;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -38,25 +38,29 @@
 }
 
 void engine::rent(const rental_offer &o, int count, double now) {
-    // Wishes of one round for the same kind of machine share a request.
+    // Wishes of one round for the same kind of machine share a request, and all requests of a round
+    // a record, as far as it holds.
+    std::size_t in_round = 0;
+    auto round = fmt::format("{}-{}", first_token_, rental_round_);
     for (auto &[request, r] : rentals_)
-        if (r.asked_at == now && !r.busy && !r.durable && r.record.what.type == o.type->name &&
-            r.record.what.zone == o.zone && r.record.what.spot == o.spot &&
-            r.record.what.count + count <= c::hosts_per_request) {
-            r.record.what.count += count;
-            return;
+        if (r.round == round) {
+            ++in_round;
+            if (r.asked_at == now && !r.durable && r.what.type == o.type->name &&
+                r.what.zone == o.zone && r.what.spot == o.spot &&
+                r.what.count + count <= c::hosts_per_request) {
+                r.what.count += count;
+                return;
+            }
         }
-    rental_state s;
-    s.record.what.request = fmt::format("r-{}-{}", first_token_, ++rental_counter_);
-    s.record.what.type = o.type->name;
-    s.record.what.zone = o.zone;
-    s.record.what.spot = o.spot;
-    s.record.what.count = count;
-    s.record.at = now + wall_offset_;
+    if (rental_round_at_ != now || in_round >= c::rentals_per_record) {
+        rental_round_at_ = now;
+        round = fmt::format("{}-{}", first_token_, ++rental_round_);
+    }
+    auto request = fmt::format("r-{}-{}", first_token_, ++rental_counter_);
+    auto &s = rentals_[request];
+    s.what = {request, o.type->name, o.zone, o.spot, count};
+    s.round = round;
     s.asked_at = now;
-    spdlog::info("renting {} {} in {} ({})", count, o.type->name, o.zone,
-                 o.spot ? "spot" : "ordinary");
-    rentals_[s.record.what.request] = std::move(s);
 }
 
 void engine::fleet_for_services(std::vector<bidder> &fleet, double now) {
@@ -247,14 +251,14 @@
     for (auto &[request, s] : rentals_) {
         if (s.answered)
             continue;
-        auto *t = type_of(s.record.what.type);
+        auto *t = type_of(s.what.type);
         if (!t)
             continue;
-        for (int k = 0; k < s.record.what.count; ++k) {
+        for (int k = 0; k < s.what.count; ++k) {
             bidder b;
             b.type = t;
-            b.zone = s.record.what.zone;
-            b.spot = s.record.what.spot;
+            b.zone = s.what.zone;
+            b.spot = s.what.spot;
             b.free = b.critical = b.whole = {t->cpus, t->gpus, t->memory_gb};
             fleet.push_back(std::move(b));
         }
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -1,7 +1,6 @@
 #include "store/committer.hpp"
 #include "constants.hpp"
 #include <algorithm>
-#include <fmt/format.h>
 #include <set>
 
 namespace spindlecroft::store {
@@ -60,16 +59,6 @@
     return waiting_.size() >= c::commit_queue;
 }
 
-std::string committer::show_waiting() const {
-    std::map<urgency, int> counts;
-    for (auto &u : waiting_)
-        ++counts[u.rank];
-    std::string out = std::to_string(waiting_.size());
-    for (auto &[rank, n] : counts)
-        out += fmt::format(" {}:{}", static_cast<int>(rank), n);
-    return out;
-}
-
 void committer::submit(unit u) {
     if (stopping_) {
         if (u.result)
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -31,8 +31,6 @@
     bool full() const;
     void submit(unit u);
     std::size_t waiting() const { return waiting_.size(); }
-    // By urgency, for the log.
-    std::string show_waiting() const;
     // Runs until stop(); what waits then is answered as lost.
     net::awaitable<void> run();
     void stop();
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -689,32 +689,27 @@
 
 std::string encode_rental_record(const rental_record &r) {
     json::object o;
-    o["request"] = r.what.request;
-    o["type"] = r.what.type;
-    o["zone"] = r.what.zone;
-    o["spot"] = r.what.spot;
-    o["count"] = r.what.count;
     o["at"] = r.at;
     json::array a;
-    for (auto &m : r.machines)
-        a.emplace_back(m);
-    o["machines"] = std::move(a);
+    for (auto &q : r.requests)
+        a.push_back(json::array{q.request, q.type, q.zone, q.spot, q.count});
+    o["requests"] = std::move(a);
     return json::serialize(o);
 }
 
 rental_record parse_rental_record(const std::string &value) {
     auto o = parse_object(value);
     rental_record r;
-    r.what.request = text(o, "request");
-    r.what.type = text(o, "type");
-    r.what.zone = text(o, "zone");
-    r.what.spot = flag(o, "spot");
-    r.what.count = static_cast<int>(count(o, "count"));
     r.at = amount(o, "at");
-    for (auto &v : list(o, "machines")) {
-        if (!v.is_string())
-            fail("machines", "must hold texts");
-        r.machines.emplace_back(v.get_string());
+    for (auto &v : list(o, "requests")) {
+        if (!v.is_array() || v.get_array().size() != 5)
+            fail("requests", "must hold lists of five");
+        auto &a = v.get_array();
+        if (!a[0].is_string() || !a[1].is_string() || !a[2].is_string() || !a[3].is_bool())
+            fail("requests", "must hold texts and a flag");
+        r.requests.push_back({std::string(a[0].get_string()), std::string(a[1].get_string()),
+                              std::string(a[2].get_string()), a[3].get_bool(),
+                              a[4].to_number<int>()});
     }
     return r;
 }
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -114,10 +114,11 @@
 };
 std::string encode_leader(const leader_record &r);
 leader_record parse_leader(const std::string &value);
+// Requests of one round of renting. The cloud gives the same answer to a repeated request, so the
+// machines' names need not be kept.
 struct rental_record {
-    rental what;
-    double at = 0;                     // s, time of day
-    std::vector<std::string> machines; // empty until the cloud has answered
+    std::vector<rental> requests;
+    double at = 0; // s, time of day
 };
 std::string encode_rental_record(const rental_record &r);
 rental_record parse_rental_record(const std::string &value);
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -282,7 +282,7 @@
         else if (key.rfind("p/", 0) == 0)
             core->load_placed(key.substr(2), wire::parse_placed(value), now);
         else if (key.rfind("m/", 0) == 0)
-            core->load_rental(wire::parse_rental_record(value), now);
+            core->load_rental(key.substr(2), wire::parse_rental_record(value), now);
     }
 };
 
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -360,7 +360,7 @@
                 if (pass == 1 && key[0] == 'p')
                     core->load_placed(key.substr(2), wire::parse_placed(value), now);
                 if (pass == 1 && key[0] == 'm')
-                    core->load_rental(wire::parse_rental_record(value), now);
+                    core->load_rental(key.substr(2), wire::parse_rental_record(value), now);
             }
         core->loaded(now);
     }
