--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -297,35 +297,25 @@
     return at;
 }
 
-// A machine stood idle while tasks wait in queues elsewhere: as many of those as the idle machines
-// could hold are bid again, from the ends of the longest queues.
+// A machine has nothing in its queue while tasks wait in queues elsewhere: all of those are bid
+// again. Bidding again only as many as the idle room holds left replicas in the queues of machines
+// that boot late, and queues out of their team's order (round g5).
 void engine::rebid(double now) {
     if (now - last_rebid_ < c::idle_rebid_s)
         return;
-    double idle_cpus = 0;
-    std::vector<std::pair<double, machine_t *>> waiting;
+    bool waiting = false, idle = false;
     for (auto &[name, m] : machines_) {
-        if (!m.queue.empty()) {
-            double work = 0;
-            for (auto &t : m.queue)
-                work += t.estimate_s;
-            waiting.emplace_back(work / std::max(1.0, m.type.cpus), &m);
-        } else if (m.up && m.usable() && !m.silent && m.attempts.empty()) {
-            idle_cpus += m.type.cpus;
-        }
+        if (!m.queue.empty())
+            waiting = true;
+        else if (m.up && m.usable() && !m.silent)
+            idle = true;
     }
-    if (waiting.empty() || idle_cpus <= 0)
+    if (!waiting || !idle)
         return;
     last_rebid_ = now;
-    std::sort(waiting.begin(), waiting.end(), [](auto &a, auto &b) { return a.first > b.first; });
-    for (auto &[work, m] : waiting) {
-        if (idle_cpus <= 0)
-            break;
-        for (auto &t : m->queue)
-            if (auto *j = job_of(t.task.job))
-                idle_cpus -= j->spec.cpus;
-        unqueue(*m);
-    }
+    for (auto &[name, m] : machines_)
+        if (!m.queue.empty())
+            unqueue(m);
 }
 
 fairness::waiting_job engine::urgency_of(const job_t &j, double now) const {
