--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -150,7 +150,7 @@
     1.7; // times startupS; a machine later than this is not counted on
 inline constexpr double drain_target_s = 8.0; // s; waiting work should start within this
 inline constexpr double ordinary_patience =
-    5.0; // ratio; so much longer waits spot work before ordinary machines
+    5.0; // ratio; at most so much longer waits spot work before ordinary machines
 inline constexpr double idle_least_s = 15.0; // s; an idle machine is kept at least this long
 inline constexpr double idle_boots =
     1.2; // boot times; an idle machine is kept as long as its boot cost
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -654,6 +654,16 @@
             if (o.kind != order_kind::forget || forgetting)
                 out.push_back(o);
     std::vector<order> starts;
+    // Room once the orders to stop in this very list are carried out, which go before the starts.
+    bidding::room room{m.type.cpus, m.type.gpus, m.type.memory_gb};
+    for (auto &ref : m.attempts)
+        if (auto *j = job_of(ref.job))
+            if (auto i = j->live.find(ref.index); i != j->live.end()) {
+                auto &a = i->second;
+                bool stops_now = a.stop_wanted && a.grace_s <= 0;
+                if (a.present() && !stops_now)
+                    room.take(j->spec);
+            }
     for (auto &ref : m.attempts) {
         auto *j = job_of(ref.job);
         if (!j)
@@ -674,6 +684,11 @@
             }
             if (a.inherited || !m.usable() || j->over())
                 break;
+            if (a.phase == attempt_phase::committed) {
+                if (!room.fits(j->spec))
+                    break; // placed ahead of the room that is being made for it
+                room.take(j->spec);
+            }
             a.phase = attempt_phase::sent;
             if (in_answer) {
                 a.sent_session = m.session;
@@ -1279,7 +1294,7 @@
 }
 
 std::string engine::summary() const {
-    std::size_t up = 0, booting = 0, spot = 0, queued = 0, attempts = 0, waiting = 0;
+    std::size_t up = 0, booting = 0, spot = 0, queued = 0, attempts = 0, waiting = 0, running = 0;
     for (auto &[n, m] : machines_) {
         m.up ? ++up : ++booting;
         if (m.spot)
@@ -1287,11 +1302,14 @@
         queued += m.queue.size();
         attempts += m.attempts.size();
     }
-    for (auto &[n, j] : jobs_)
+    for (auto &[n, j] : jobs_) {
         waiting += j.waiting();
-    return fmt::format("machines {} up {} booting ({} spot), jobs {}, tasks {} placed {} queued "
-                       "{} waiting",
-                       up, booting, spot, jobs_.size(), attempts, queued, waiting);
+        running += j.running();
+    }
+    return fmt::format("machines {} up {} booting ({} spot), jobs {}, tasks {} placed {} running "
+                       "{} queued {} waiting, {} stopped to make room",
+                       up, booting, spot, jobs_.size(), attempts, running, queued, waiting,
+                       made_room_);
 }
 
 } // namespace spindlecroft::control
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -188,6 +188,8 @@
     void rent(const rental_offer &o, int count, double now);
     void fleet_for_services(std::vector<bidder> &fleet, double now);
     void fleet_for_arrays(std::vector<bidder> &fleet, double now);
+    // How much longer than for spot machines work waits before ordinary ones are rented for it.
+    double ordinary_patience(const job_spec &s) const;
     void return_idle(double now);
     void count_usage();
     bool type_allowed(const job_spec &s, const std::string &type) const;
@@ -251,6 +253,7 @@
     std::map<std::string, std::uint32_t> image_numbers_;
     std::map<std::string, double> stopping_; // cpus of each team about to be free, this round
     double last_check_ = -1e9;               // s
+    std::uint64_t made_room_ = 0;            // tasks stopped for others
     bool starts_ignored_ = false, starts_seen_ = false; // in the report at hand
 };
 
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -149,6 +149,22 @@
     }
 }
 
+double engine::ordinary_patience(const job_spec &s) const {
+    double spot = 0, ordinary = 0; // the least price of room for one task
+    for (auto &t : types_) {
+        int slots = bidding::room{t.cpus, t.gpus, t.memory_gb}.slots(s);
+        if (slots < 1 || !type_allowed(s, t.name))
+            continue;
+        if (t.spot_price > 0 && (spot <= 0 || t.spot_price / slots < spot))
+            spot = t.spot_price / slots;
+        if (t.price > 0 && (ordinary <= 0 || t.price / slots < ordinary))
+            ordinary = t.price / slots;
+    }
+    if (spot <= 0 || ordinary <= 0)
+        return 1;
+    return std::clamp(ordinary / spot, 1.0, c::ordinary_patience);
+}
+
 void engine::fleet_for_arrays(std::vector<bidder> &fleet, double now) {
     // Work that comes and goes, as far as its teams' limits let it run, by what a task needs. Kinds
     // are kept apart: room for small tasks is none for large ones.
@@ -200,8 +216,9 @@
             return std::min(tasks, std::ceil(work / (target + average)));
         };
         double need = slots_for(settings_.ops.drain_target_s);
-        // Work that may use spot machines waits longer before ordinary ones are paid for.
-        double spare_wait = need - slots_for(settings_.ops.drain_target_s * c::ordinary_patience);
+        // Work that may use spot machines waits longer before ordinary ones are paid for: by as
+        // much as they are dearer.
+        double spare_wait = need - slots_for(settings_.ops.drain_target_s * ordinary_patience(s));
         for (auto &b : fleet)
             while (need > 0 && type_allowed(s, b.type->name) && (!s.zone || *s.zone == b.zone) &&
                    (!b.spot || s.spot) && b.whole.fits(s)) {
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -292,6 +292,7 @@
     if (victim) {
         auto &o = job_of(victim->task.job)->spec;
         stopping_[o.team] += o.cpus;
+        ++made_room_;
         stop_attempt(*victim, grace_of(o), now);
     }
     return at;
@@ -442,10 +443,21 @@
                 sum.give(job_of(a->task.job)->spec);
                 victims.push_back(a);
             }
-            if (sum.fits(j->spec))
-                for (auto *a : victims)
-                    stop_attempt(*a, grace_of(job_of(a->task.job)->spec), now);
-            return;
+            if (!sum.fits(j->spec))
+                return;
+            bool at_once = true;
+            for (auto *a : victims) {
+                double grace = grace_of(job_of(a->task.job)->spec);
+                at_once = at_once && grace <= 0;
+                ++made_room_;
+                stop_attempt(*a, grace, now);
+            }
+            // Its placement is written while the others are being stopped; the start follows the
+            // orders to stop, in the same message if need be.
+            if (!at_once)
+                return;
+            std::erase_if(lower, [&](auto *a) { return a->stop_wanted; });
+            room = sum;
         }
         m.queue.pop_front();
         m.changed = true;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -26,6 +26,7 @@
     std::string name, type, zone;
     bool spot = false, alive = true;
     double up_at = 0, hang_until = 0;
+    double deaf_until = 0; // its reports arrive, but nothing reaches it
     std::uint64_t session = 1, seq = 0, token = 0;
     double lease_from = 0, next_report = 0;
     bool reporting = false;
@@ -71,7 +72,7 @@
     std::set<std::string> started; // task#attempt that ran on a worker
     std::map<std::pair<std::string, std::uint32_t>, bool> completed;
     std::vector<std::string> broken;
-    int starts = 0, leaders = 0;
+    int starts = 0, leaders = 0, copies = 0;
     bool calm = false;
 
     double real(double a, double b) {
@@ -215,6 +216,17 @@
         double sent = now;
         auto session = w.session;
         at(now + 4, [this, name, session, sent] { finish(name, session, sent, {}, 0, false); });
+        // A copy of the report comes once more, up to three leases later and perhaps to another
+        // leader; the answer to it reaches nobody.
+        if (chance(0.04))
+            at(now + real(2, 60), [this, name, r] {
+                auto leader = core;
+                if (!leader || leader->on_report(r, now) == control::engine::report_age::dead)
+                    return;
+                ++copies;
+                leader->orders_in_answer(name, now);
+                leader->answered(name, now);
+            });
         if (chance(0.02))
             return;
         double arrives = now + delay();
@@ -228,7 +240,7 @@
             auto orders = leader->orders_in_answer(name, now);
             auto token = leader->token();
             leader->answered(name, now);
-            if (chance(0.02))
+            if (chance(0.02) || now < workers.at(name).deaf_until)
                 return;
             double back = now + delay();
             if (back < sent + 4)
@@ -285,6 +297,8 @@
             if (i == workers.end() || !i->second.alive)
                 return;
             auto &w = i->second;
+            if (now < w.deaf_until)
+                return;
             if (now < w.hang_until) {
                 at(w.hang_until + 0.01, *arrive); // a hanging machine takes it up afterwards
                 return;
@@ -518,6 +532,8 @@
                     w.alive = false;
                 if (chance(0.0001))
                     w.hang_until = now + real(1, 40);
+                if (chance(0.0001))
+                    w.deaf_until = now + real(5, 80);
                 work(w);
             }
             if (core) {
@@ -549,6 +565,7 @@
     EXPECT_TRUE(w.broken.empty()) << w.broken.size() << " broken, first: " << w.broken.front();
     EXPECT_GT(w.starts, 50);
     EXPECT_GT(w.leaders, 1);
+    EXPECT_GT(w.copies, 10);
     std::vector<std::string> unfinished;
     for (auto &[id, r] : w.jobs)
         if (r.job.cancelled || r.job.spec.shape == job_shape::array)
