--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -192,6 +192,7 @@
     double ordinary_patience(const job_spec &s) const;
     void return_idle(double now);
     void count_usage();
+    void mark_guaranteed();
     bool type_allowed(const job_spec &s, const std::string &type) const;
     double expected_s(const job_t &j) const;
     fairness::waiting_job urgency_of(const job_t &j, double now) const;
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -102,6 +102,30 @@
     }
 }
 
+// Guards against stopping work for nothing: a job that does not fit its team's guarantee as a whole
+// waits for others anyway, and each task that is stopped for it has run in vain.
+void engine::mark_guaranteed() {
+    bool any = false;
+    for (auto &t : settings_.teams)
+        any = any || t.cpus > 0 || t.gpus > 0;
+    if (!any)
+        return;
+    std::vector<job_t *> by_age;
+    for (auto &[id, j] : jobs_)
+        if (!j.over())
+            by_age.push_back(&j);
+    std::sort(by_age.begin(), by_age.end(),
+              [](auto *a, auto *b) { return a->accepted_at < b->accepted_at; });
+    std::map<std::string, fairness::usage> earlier;
+    for (auto *j : by_age) {
+        auto &u = earlier[j->spec.team];
+        u.cpus += j->spec.tasks * j->spec.cpus;
+        u.gpus += j->spec.tasks * j->spec.gpus;
+        auto *t = teams_.find(j->spec.team);
+        j->guaranteed = t && u.cpus <= t->cpus + 1e-9 && u.gpus <= t->gpus + 1e-9;
+    }
+}
+
 void engine::refresh_bidder(bidder &b, double now) {
     auto &m = *b.m;
     m.changed = false;
@@ -224,7 +248,7 @@
         }
     }
     bool first = false;
-    if ((!best || best_queued > c::guarantee_wait_s) && teams_.within_guarantee(s))
+    if ((!best || best_queued > c::guarantee_wait_s) && j.guaranteed && teams_.within_guarantee(s))
         if (auto *b = make_way(j, places, bidders, now)) {
             best = b;
             first = true;
@@ -347,6 +371,7 @@
 void engine::plan_bids(double now) {
     rebid(now);
     count_usage();
+    mark_guaranteed();
     auto bidders = make_bidders(now);
     struct candidate {
         job_t *job;
