--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -94,6 +94,8 @@
     3.0; // report intervals without a word before a machine is silent
 inline constexpr double silent_margin_s =
     2.0; // s; added to it, a report may be retried at another node
+inline constexpr double quiet_share =
+    0.5; // of the time after which a machine is silent; longer than the longest report interval
 inline constexpr double silent_share =
     0.5; // above this share of silent machines we doubt ourselves
 inline constexpr double silent_zone_share =
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -535,9 +535,9 @@
 
 void engine::check_machines(double now) {
     struct tally {
-        double up = 0, silent = 0;
+        double up = 0, quiet = 0;
         // Many at once: rather they, or we, are cut off than dead.
-        bool doubt(double least, double share) const { return up > least && silent > share * up; }
+        bool doubt(double least, double share) const { return up > least && quiet > share * up; }
     };
     std::map<std::string, tally> zones;
     tally all;
@@ -553,7 +553,9 @@
             continue;
         for (auto *t : {&all, &zones[m.zone]}) {
             ++t->up;
-            t->silent += m.silent;
+            // Guards against deleting a large zone that is cut off, machine by machine: they fall
+            // silent one after another, and when the first is, the others have been quiet already.
+            t->quiet += silent_for(m) > c::quiet_share * limit;
         }
         // Nothing waits in the queue of a machine that may be dead.
         if (m.silent && !m.queue.empty())
