--- a/src/catalog/job.hpp
+++ b/src/catalog/job.hpp
@@ -70,9 +70,10 @@
     double done_since = 0; // s; when a chunk became dirty
 
     std::uint32_t image = 0; // number of its image
-    // It fits its team's guarantee together with the team's earlier jobs: it need not wait for others.
+    // It fits its team's guarantee together with the team's earlier jobs: it need not wait for
+    // others.
     bool guaranteed = false;
-    double took_sum = 0;     // s; run times of its done tasks, at the speed of an ordinary machine
+    double took_sum = 0; // s; run times of its done tasks, at the speed of an ordinary machine
     int took_count = 0;
     int failures = 0;
     double backoff_until = 0;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -130,8 +130,9 @@
         return unsure("starting");
     // Cut from the state service while others are not: they serve better.
     // A node that hears neither it nor any other controller can't tell, and is no better.
-    if (state_.silence(now_s()) > c::isolated_s &&
-        (member_.state_served_elsewhere() || member_.alone_for(c::isolated_s)))
+    if (membership::better_served_elsewhere(state_.silence(now_s()),
+                                            member_.state_served_elsewhere(),
+                                            member_.alone_for(c::isolated_s)))
         return unsure("no state service");
     return {200, "{}", 0, false};
 }
@@ -615,8 +616,14 @@
             if (core.wants_token_raise(now))
                 member_.want_raise();
         }
-        for (auto &m : core.take_urgent())
-            net::spawn(io_, command(l, m), "command");
+        // Guards against a start that waits for a whole report interval: what became urgent while a
+        // command to the same machine is under way goes after it.
+        for (auto &m : core.take_urgent()) {
+            if (l->commanding.count(m))
+                core.keep_urgent(m);
+            else
+                net::spawn(io_, command(l, m), "command");
+        }
         if (now - cache_.fresh_at() > c::leader_fresh_s)
             cache_.want_read();
         if (now > next_summary) {
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -114,6 +114,8 @@
     std::vector<rental> take_rentals(double now);
     // Machines to which orders should go at once.
     std::vector<std::string> take_urgent();
+    // A command to it is under way already: it is to be given out again.
+    void keep_urgent(const std::string &machine) { urgent_.insert(machine); }
     bool wants_token_raise(double now);
 
     // --- views ---
--- a/src/membership/promises.cpp
+++ b/src/membership/promises.cpp
@@ -78,6 +78,10 @@
     return std::max(until, fresh_at);
 }
 
+bool better_served_elsewhere(double state_silence_s, bool state_served_elsewhere, bool alone) {
+    return state_silence_s > c::isolated_s && (state_served_elsewhere || alone);
+}
+
 bool may_renew(double now, double known_until, double lease_s, double cancel_s) {
     double blind = cancel_s - lease_s * (1 + c::clock_drift) - c::blind_margin_s;
     return now - known_until < std::max(blind, c::blind_least_s);
--- a/src/membership/promises.hpp
+++ b/src/membership/promises.hpp
@@ -62,6 +62,10 @@
 // all that was durable at fresh_at is known.
 double cancels_known_until(double now, double fresh_at, const std::vector<cancel_news> &others);
 
+// Whether a node should send users elsewhere: it is without the state service while another has it,
+// or hears nobody at all and so can't tell. In an outage for all, everybody stays.
+bool better_served_elsewhere(double state_silence_s, bool state_served_elsewhere, bool alone);
+
 // Whether a worker's lease may be renewed although cancels may have been accepted since
 // known_until: its tasks must be gone cancel_s after such a cancel, even if no word reaches the
 // worker any more.
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -500,6 +500,26 @@
     EXPECT_GT(large_done * 2, of_large);
 }
 
+// A controller that loses the state service and the others, but not its workers: as leader it
+// lapses with its lease and promises, and its users are sent elsewhere, where their jobs are known.
+TEST(nodes, on_its_own_it_gives_up_in_time) {
+    membership::authority a("n0", 7);
+    for (auto n : {"n0", "n1", "n2", "n3"})
+        a.promised(n, 10, c::promise_s);
+    a.lease_renewed(10.5, c::leader_lease_s);
+    // From here on nothing is heard; its own promise to itself is no majority.
+    a.promised("n0", 12, c::promise_s);
+    EXPECT_TRUE(a.valid(12.9));
+    EXPECT_TRUE(a.valid(13.2)) << "by its lease alone";
+    EXPECT_FALSE(a.valid(13.5));
+
+    EXPECT_TRUE(membership::better_served_elsewhere(5, true, false))
+        << "cut from the state service";
+    EXPECT_TRUE(membership::better_served_elsewhere(5, false, true)) << "cut from all but workers";
+    EXPECT_FALSE(membership::better_served_elsewhere(60, false, false)) << "an outage for all";
+    EXPECT_FALSE(membership::better_served_elsewhere(1, false, true)) << "refused by peers alone";
+}
+
 TEST(cancels, a_blind_leader_lets_leases_end_in_time) {
     double lease = 14, cancel = 39, fresh = 100;
     // Neither peer answers any more: a cancel may have been accepted right after the last read.
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -566,6 +566,9 @@
     EXPECT_GT(w.starts, 50);
     EXPECT_GT(w.leaders, 1);
     EXPECT_GT(w.copies, 10);
+    // Forgotten: whatever was accepted is known for ever, as active or as ended.
+    for (auto &[id, s] : w.uploaded)
+        EXPECT_TRUE(w.jobs.count(id) || w.ended.count(id)) << id;
     std::vector<std::string> unfinished;
     for (auto &[id, r] : w.jobs)
         if (r.job.cancelled || r.job.spec.shape == job_shape::array)
