--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -575,7 +575,10 @@
         bool doubt = all_doubt || zone_doubt_until_[m.zone] > now;
         if (m.silent && (!doubt || silent_for(m) > limit + settings_.lease_s + c::cut_patience_s)) {
             want_delete(m, "silent");
-        } else if (!m.up && m.known_type && age > c::boot_late * m.type.boot_s + 5) {
+        } else if (!m.up && m.known_type && m.running_at < 0 &&
+                   age > c::boot_late * m.type.boot_s + 5) {
+            // Not if it is listed as running: then it is we who don't hear it, as after a takeover
+            // in a cut, and it counts as silent.
             want_delete(m, "never came up");
         } else if (m.doomed_at >= 0 && (now > m.doomed_at || m.attempts.empty())) {
             want_delete(m, "taken back");
