--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -38,7 +38,14 @@
     2.5;                                    // s; a command that takes longer counts as unresolved
 inline constexpr std::size_t pool_idle = 4; // connections kept open to one host
 inline constexpr int retry_after_s = 1;     // s; told to users who get 503
-inline constexpr double reserved_sockets = 0.25; // share of sockets that users may not take
+inline constexpr double command_sockets =
+    0.1; // share of sockets for commands to workers; beyond it they are closed after use
+inline constexpr double back_sockets = 0.04;          // share of sockets for the other controllers
+inline constexpr std::size_t back_sockets_least = 16; // sockets; a few for each other controller
+inline constexpr std::size_t other_sockets =
+    40; // sockets to the state service, the cloud and other controllers, and the listeners
+inline constexpr double crowded_share =
+    0.85; // of the listener's sockets; beyond it users are sent away and workers' are not kept
 
 // --- leadership ---
 inline constexpr double leader_lease_s =
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -37,16 +37,15 @@
 }
 
 static net::server_limits limits_of(const settings::settings &s, bool back) {
-    auto sockets = static_cast<std::size_t>(s.max_connections);
-    auto kept = static_cast<std::size_t>(c::reserved_sockets * static_cast<double>(sockets));
-    return {back ? std::max<std::size_t>(16, kept / 4) : sockets - kept, c::idle_connection_s,
-            c::slow_request_s};
+    auto plan = settings::plan_sockets(s.max_connections);
+    return {back ? plan.back : plan.api, c::idle_connection_s, c::slow_request_s};
 }
 
 controller::controller(net::asio::io_context &io, const settings::settings &s)
-    : io_(io), settings_(s), state_(io, settings_), member_(io, settings_, state_),
-      cache_(io, state_), user_commits_(io, state_, settings_, "users"),
-      cloud_(io, settings_.cloud, c::pool_idle), cloud_budget_(0.9 * settings_.cloud_rps, 2.0),
+    : io_(io), settings_(s), sockets_(settings::plan_sockets(s.max_connections)),
+      state_(io, settings_), member_(io, settings_, state_), cache_(io, state_),
+      user_commits_(io, state_, settings_, "users"), cloud_(io, settings_.cloud, c::pool_idle),
+      cloud_budget_(0.9 * settings_.cloud_rps, 2.0),
       api_(
           io, settings_.api, [this](net::request r) { return on_api(std::move(r)); },
           limits_of(settings_, false), "api"),
@@ -95,13 +94,23 @@
     if (target == wire::path_report) {
         if (r.method != "POST")
             co_return error(405, "use POST");
-        co_return co_await on_checkin(std::move(r.body));
+        auto answer = co_await on_checkin(std::move(r.body));
+        // Guards against workers that find no socket: beyond the bound each comes anew for its
+        // report.
+        answer.close = answer.close || api_.crowded();
+        co_return answer;
     }
     if (target == wire::path_ready) {
         if (r.method != "GET")
             co_return error(405, "use GET");
         co_return ready();
     }
+    // Users are shed before workers, whose leases would run out.
+    if (api_.crowded()) {
+        auto answer = unsure("too many connections");
+        answer.close = true;
+        co_return answer;
+    }
     if (target == jobs) {
         if (r.method != "POST")
             co_return error(405, "use POST");
@@ -619,7 +628,7 @@
         // Guards against a start that waits for a whole report interval: what became urgent while a
         // command to the same machine is under way goes after it.
         for (auto &m : core.take_urgent()) {
-            if (l->commanding.count(m))
+            if (l->commanding.count(m) || l->commanding.size() >= sockets_.commands)
                 core.keep_urgent(m);
             else
                 net::spawn(io_, command(l, m), "command");
@@ -628,7 +637,6 @@
             cache_.want_read();
         if (now > next_summary) {
             next_summary = now + c::summary_gap_s;
-            // Connections to workers that had no command of late would use up the sockets.
             std::erase_if(l->workers, [&](auto &w) {
                 return w.second.use_count() == 1 && now - w.second->used_at() > c::summary_gap_s;
             });
@@ -774,6 +782,9 @@
     auto a =
         co_await client->call("POST", wire::path_commands,
                               wire::encode_commands(token, session, orders), c::worker_timeout_s);
+    // Guards against commands to a large fleet that use up the sockets its reports need.
+    if (l->workers.size() > sockets_.commands && client.use_count() == 2)
+        l->workers.erase(address);
     if (l->over || !l->core)
         co_return;
     bool settled = a.how == net::outcome::not_sent;
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -51,6 +51,7 @@
 
     net::asio::io_context &io_;
     settings::settings settings_;
+    settings::socket_plan sockets_;
     store::state_client state_;
     membership::member member_;
     catalog::job_cache cache_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -23,6 +23,11 @@
     acceptor_.listen();
 }
 
+bool server::crowded(std::size_t open, const server_limits &l) {
+    return static_cast<double>(open) >
+           constants::crowded_share * static_cast<double>(l.connections);
+}
+
 void server::start() {
     spawn(io_, accept_loop(), name_ + " listener");
 }
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -36,6 +36,9 @@
     void start();
     void stop();
     std::size_t open() const { return open_; }
+    // So many connections are open that none should be kept without need.
+    bool crowded() const { return crowded(open_, limits_); }
+    static bool crowded(std::size_t open, const server_limits &l);
 
   private:
     awaitable<void> accept_loop();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -250,4 +250,20 @@
     return parse_operator(read_file(path), path);
 }
 
+// Guards against a fleet that takes every socket: workers' connections, commands to them, users and
+// other controllers each have a part that the others can't use up.
+socket_plan plan_sockets(int max_connections) {
+    namespace c = constants;
+    auto all = static_cast<std::size_t>(std::max(max_connections, 0));
+    auto share = [&](double part) {
+        return static_cast<std::size_t>(part * static_cast<double>(all));
+    };
+    socket_plan p;
+    p.commands = std::max<std::size_t>(1, share(c::command_sockets));
+    p.back = std::max(c::back_sockets_least, share(c::back_sockets));
+    auto rest = p.commands + p.back + c::other_sockets;
+    p.api = all > 2 * rest ? all - rest : std::max<std::size_t>(1, all / 2);
+    return p;
+}
+
 } // namespace spindlecroft::settings
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -38,6 +38,14 @@
     operator_options();
 };
 
+// How a controller divides the sockets it may have.
+struct socket_plan {
+    std::size_t api = 0;      // users, workers and health checks
+    std::size_t back = 0;     // other controllers
+    std::size_t commands = 0; // commands to workers, under way or kept open
+};
+socket_plan plan_sockets(int max_connections);
+
 struct settings {
     std::string node, zone;
     address api, back;
