--- a/src/control/bidder.hpp
+++ b/src/control/bidder.hpp
@@ -3,7 +3,10 @@
 #include "bidding/bid.hpp"
 #include "workers/machine.hpp"
 #include <algorithm>
+#include <map>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace spindlecroft::control {
@@ -21,13 +24,44 @@
     double boot_s = 0;          // until it is up
     double refreshed_at = -1e9; // s
     int fetches = 0;
+    std::uint32_t version = 0; // grows with what it holds
+    std::size_t number = 0;    // its position in the round; of equal bids the first wins
     std::vector<std::uint32_t> cached, coming; // numbers of images: there, and being fetched
 
     static bool holds(const std::vector<std::uint32_t> &list, std::uint32_t image) {
         return std::find(list.begin(), list.end(), image) != list.end();
     }
     void hold(const job_spec &s, double remaining_s);
-    void fetch(std::uint32_t image);
+    bool fetch(std::uint32_t image); // false: it is there or coming already
+};
+
+struct round_bid {
+    bidder *by = nullptr;
+    double finish_s = 0, queued_s = 0;
+    std::uint32_t version = 0; // of the bidder when it bid
+    // For a heap with the best bid on top.
+    bool operator<(const round_bid &o) const {
+        return finish_s != o.finish_s ? finish_s > o.finish_s : by->number > o.by->number;
+    }
+};
+
+// A round of bids. At full size thousands of tasks bid among thousands of machines: a job keeps the
+// machines' bids, and only what a placement changed is worked out anew.
+struct bid_round {
+    std::vector<bidder *> bidders;
+    struct book {
+        std::vector<round_bid> heap;
+        std::size_t fetching_seen = 0;
+    };
+    std::map<std::string, book> books; // by job
+    // Machines that began to fetch an image in this round: their bids for it fell.
+    std::map<std::uint32_t, std::vector<bidder *>> fetching;
+    // Needs for which no machine bids any more, with the places that are allowed.
+    using need = std::tuple<double, double, double, bool, bool, std::vector<char>>;
+    std::set<need> full;
+    // Running work of arrays by the time of its placement, for whoever has to make way.
+    bool victims_known = false;
+    std::vector<std::pair<double, catalog::task_ref>> victims; // the latest first
 };
 
 struct rental_offer {
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -50,7 +50,7 @@
     auto [i, fresh] = machines_.try_emplace(name);
     if (fresh) {
         i->second.name = name;
-        i->second.rented_at = now;
+        i->second.rented_at = i->second.known_at = now;
         i->second.idle_since = now;
         // Whoever answered it before us, did so before our authority began.
         i->second.lease_bound =
@@ -88,7 +88,7 @@
     m.zone = zone;
     m.spot = spot;
     m.place = place_of(type, zone, spot);
-    m.changed = true;
+    m.touch();
 }
 
 // --- taking over ---
@@ -165,7 +165,7 @@
         a.stop_wanted = j->cancelled;
         auto &m = machine_of(t.machine, now);
         m.attempts.insert(a.task);
-        m.changed = true;
+        m.touch();
         j->live[t.index] = std::move(a);
     }
 }
@@ -252,7 +252,7 @@
         catalog::task_ref ref{j.spec.id, index};
         d.erase(std::remove_if(d.begin(), d.end(), [&](auto &t) { return t.task == ref; }),
                 d.end());
-        m->second.changed = true;
+        m->second.touch();
     }
     j.queued.erase(q);
 }
@@ -264,7 +264,7 @@
             j->push_back(t.task.index);
         }
     m.queue.clear();
-    m.changed = true;
+    m.touch();
     dirty_ = true;
 }
 
@@ -277,7 +277,7 @@
     auto m = machines_.find(i->second.machine);
     if (m != machines_.end()) {
         m->second.attempts.erase(i->second.task);
-        m->second.changed = true;
+        m->second.touch();
     }
     j.live.erase(i);
     if (again)
@@ -315,6 +315,11 @@
     m.seq = r.seq;
     m.token = r.token;
     m.heard_at = now;
+    // Guards against ran_twice: a new session's lease began by itself, before any answer of ours,
+    // and direct commands start tasks in it while reports go unanswered.
+    if (first || new_session)
+        m.lease_bound = std::max(m.lease_bound,
+                                 now + settings_.lease_s * (1 + c::clock_drift) + c::lease_slack_s);
     if (first) {
         m.up = true;
         m.up_at = now;
@@ -325,7 +330,7 @@
         m.idle_since = now; // cut off until now, not idle
     m.strays.clear();
     if (!r.tasks.empty() || !m.attempts.empty())
-        m.changed = true;
+        m.touch();
     std::set<catalog::task_ref> listed;
     for (auto &t : r.tasks) {
         listed.insert({t.job, t.index});
@@ -490,7 +495,7 @@
     a.created_at = a.running_since = now;
     a.estimate_s = expected_s(j);
     m.attempts.insert(a.task);
-    m.changed = true;
+    m.touch();
     auto &kept = j.live[t.index] = std::move(a);
     stop_attempt(kept, 0, now);
     spdlog::info("{}: adopted {}/{} attempt {}", m.name, t.job, t.index, t.attempt);
@@ -898,9 +903,9 @@
     double described = asked_at - 2 * settings_.list_lag_s - 1;
     std::vector<std::string> gone;
     for (auto &[name, m] : machines_) {
-        double since = m.listed_at >= 0 ? m.listed_at : std::max(m.rented_at, began_);
-        if (m.heard_at >= 0 && m.listed_at < 0)
-            since = std::max(since, m.heard_at);
+        // Guards against giving up machines that were rented late: many requests wait for the
+        // cloud's limit, and the machine is younger than the wish for it.
+        double since = m.listed_at >= 0 ? m.listed_at : m.known_at;
         if (!listed.count(name) && since < described)
             gone.push_back(name);
     }
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -167,15 +167,18 @@
     void check_machines(double now);
     void plan_bids(double now);
     void start_queued(machine_t &m, double now);
-    bool bid_once(job_t &j, std::vector<bidder *> &bidders, double now);
+    bool bid_once(job_t &j, bid_round &round, double now);
+    // What the machine bids for one task of the job; nothing: no room, or not in time.
+    std::optional<round_bid> bid_of(const job_t &j, bidder &b, const std::vector<char> &places,
+                                    double expected, bool some_failed, double now) const;
+    std::optional<round_bid> best_bid(const job_t &j, bid_round &round, double now);
     // The places (type, zone, kind) where one more task of the job may be now.
     std::vector<char> places_for(const job_t &j) const;
     std::size_t place_of(const std::string &type, const std::string &zone, bool spot);
     std::uint32_t image_number(const std::string &image);
     // Tasks of the latest array for which such a replica would take the room.
     int spoilt_slots(const bidder &b, const job_spec &s) const;
-    bidder *make_way(const job_t &j, const std::vector<char> &places,
-                     const std::vector<bidder *> &bidders, double now);
+    bidder *make_way(const job_t &j, bid_round &round, double now);
     // The machines that may get work now, with what they hold brought up to date.
     std::vector<bidder *> make_bidders(double now);
     // For how long a machine that has not reported can be called booting. After a takeover even
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -21,11 +21,12 @@
         critical.take(s);
 }
 
-void bidder::fetch(std::uint32_t image) {
+bool bidder::fetch(std::uint32_t image) {
     if (holds(cached, image) || holds(coming, image))
-        return;
+        return false;
     coming.push_back(image);
     ++fetches;
+    return true;
 }
 
 bool engine::type_allowed(const job_spec &s, const std::string &type) const {
@@ -205,51 +206,103 @@
     return b.whole.slots(*typical_) - after.slots(*typical_);
 }
 
-bool engine::bid_once(job_t &j, std::vector<bidder *> &bidders, double now) {
+std::optional<round_bid> engine::bid_of(const job_t &j, bidder &b, const std::vector<char> &places,
+                                        double expected, bool some_failed, double now) const {
+    auto &s = j.spec;
+    if (!places[b.place] || now < b.m->refused_until)
+        return {};
+    if (some_failed && j.failed_on.count(b.m->name))
+        return {};
+    bool critical = s.rank == priority::critical;
+    bool preempting = false;
+    if (s.shape == job_shape::service || critical) {
+        // A service leaves only with its user: nobody queues behind it.
+        auto &room = critical ? b.critical : b.whole;
+        if (!room.fits(s))
+            return {};
+        preempting = !b.free.fits(s);
+    } else if (!b.whole.fits(s)) {
+        return {};
+    }
+    auto offer = bidding::make_bid(
+        b.m->speed, b.type->fetch_gb_per_s, s, b.free, b.whole, preempting ? 0 : b.work_s, b.boot_s,
+        expected, bidder::holds(b.cached, j.image) || bidder::holds(b.coming, j.image), b.fetches);
+    if (offer.queued_s > c::queue_limit_s)
+        return {};
+    round_bid r{&b, offer.finish_s(), preempting ? 0 : offer.queued_s, b.version};
+    if (preempting)
+        r.finish_s += c::preempt_cost_s;
+    // Between equals, a replica goes where it spoils least room for work that comes and goes.
+    if (s.shape == job_shape::service)
+        r.finish_s += c::spoilt_slot_s * spoilt_slots(b, s);
+    return r;
+}
+
+// The lowest bid among all machines.
+std::optional<round_bid> engine::best_bid(const job_t &j, bid_round &round, double now) {
     auto &s = j.spec;
     double expected = expected_s(j);
     auto places = places_for(j);
-    bidder *best = nullptr;
-    double best_finish = 0, best_queued = 0;
-    bool critical = s.rank == priority::critical;
-    bool some_failed = !j.failed_on.empty() && j.failed_on.size() < bidders.size();
-    for (auto *bp : bidders) {
-        auto &b = *bp;
-        if (!places[b.place] || now < b.m->refused_until)
-            continue;
-        if (some_failed && j.failed_on.count(b.m->name))
-            continue;
-        bool preempting = false;
-        if (s.shape == job_shape::service || critical) {
-            // A service leaves only with its user: nobody queues behind it.
-            auto &room = critical ? b.critical : b.whole;
-            if (!room.fits(s))
-                continue;
-            preempting = !b.free.fits(s);
-        } else if (!b.whole.fits(s)) {
-            continue;
+    bool some_failed = !j.failed_on.empty() && j.failed_on.size() < round.bidders.size();
+    bid_round::need need{
+        s.cpus, s.gpus, s.memory_gb, s.shape == job_shape::service, s.rank == priority::critical,
+        places};
+    // Whether a machine bids at all depends on nothing else of the job.
+    if (!some_failed && round.full.count(need))
+        return {};
+    std::optional<round_bid> best;
+    if (s.shape == job_shape::service || s.one_zone || s.spread) {
+        // Where its tasks may be changes with each, and a bid may fall when another holds room.
+        for (auto *b : round.bidders)
+            if (auto r = bid_of(j, *b, places, expected, some_failed, now))
+                if (!best || r->finish_s < best->finish_s)
+                    best = r;
+    } else {
+        auto [i, fresh] = round.books.try_emplace(s.id);
+        auto &book = i->second;
+        auto &heap = book.heap;
+        auto &fetching = round.fetching[j.image];
+        if (fresh) {
+            for (auto *b : round.bidders)
+                if (auto r = bid_of(j, *b, places, expected, some_failed, now))
+                    heap.push_back(*r);
+            std::make_heap(heap.begin(), heap.end());
+            book.fetching_seen = fetching.size();
         }
-        auto offer = bidding::make_bid(
-            b.m->speed, b.type->fetch_gb_per_s, s, b.free, b.whole, preempting ? 0 : b.work_s,
-            b.boot_s, expected,
-            bidder::holds(b.cached, j.image) || bidder::holds(b.coming, j.image), b.fetches);
-        if (offer.queued_s > c::queue_limit_s)
-            continue;
-        double finish = offer.finish_s();
-        if (preempting)
-            finish += c::preempt_cost_s;
-        // Between equals, a replica goes where it spoils least room for work that comes and goes.
-        if (s.shape == job_shape::service)
-            finish += c::spoilt_slot_s * spoilt_slots(b, s);
-        if (!best || finish < best_finish) {
-            best = &b;
-            best_finish = finish;
-            best_queued = preempting ? 0 : offer.queued_s;
+        auto add = [&](bidder &b) {
+            if (auto r = bid_of(j, b, places, expected, some_failed, now)) {
+                heap.push_back(*r);
+                std::push_heap(heap.begin(), heap.end());
+            }
+        };
+        for (; book.fetching_seen < fetching.size(); ++book.fetching_seen)
+            add(*fetching[book.fetching_seen]);
+        // Apart from those, bids only rise within a round: an outdated one is worked out anew when
+        // it comes to the top.
+        while (!heap.empty() && heap.front().version != heap.front().by->version) {
+            std::pop_heap(heap.begin(), heap.end());
+            auto *b = heap.back().by;
+            heap.pop_back();
+            add(*b);
         }
+        if (!heap.empty())
+            best = heap.front();
     }
+    if (!best && !some_failed)
+        round.full.insert(std::move(need));
+    return best;
+}
+
+bool engine::bid_once(job_t &j, bid_round &round, double now) {
+    auto &s = j.spec;
+    if (j.waiting() == 0)
+        return false;
+    auto offer = best_bid(j, round, now);
+    auto *best = offer ? offer->by : nullptr;
     bool first = false;
-    if ((!best || best_queued > c::guarantee_wait_s) && j.guaranteed && teams_.within_guarantee(s))
-        if (auto *b = make_way(j, places, bidders, now)) {
+    if ((!best || offer->queued_s > c::guarantee_wait_s) && j.guaranteed &&
+        teams_.within_guarantee(s))
+        if (auto *b = make_way(j, round, now)) {
             best = b;
             first = true;
         }
@@ -258,7 +311,7 @@
     std::uint32_t index = 0;
     if (!j.pop_waiting(index))
         return false;
-    double estimate = expected / std::max(best->m->speed, c::speed_floor);
+    double estimate = expected_s(j) / std::max(best->m->speed, c::speed_floor);
     workers::queued_task t{{s.id, index}, s.rank, estimate};
     auto &q = best->m->queue;
     // First in, first out among equals; higher rank goes before, and so does work for which others
@@ -266,17 +319,19 @@
     auto at = std::find_if(q.begin(), q.end(),
                            [&](auto &x) { return first ? x.rank >= s.rank : x.rank > s.rank; });
     q.insert(at, t);
+    best->m->startable = true;
     j.queued[index] = best->m->name;
     best->hold(s, estimate);
-    best->fetch(j.image);
+    if (best->fetch(j.image))
+        round.fetching[j.image].push_back(best);
+    ++best->version;
     teams_.add(s.team, s);
     return true;
 }
 
 // A team's guaranteed work finds no room soon: the latest work that another team runs beyond its
 // own guarantee is stopped for it (PROTOCOL, "Preemption").
-bidder *engine::make_way(const job_t &j, const std::vector<char> &places,
-                         const std::vector<bidder *> &bidders, double now) {
+bidder *engine::make_way(const job_t &j, bid_round &round, double now) {
     auto &s = j.spec;
     // Most of the time nobody is beyond its guarantee; then no machine need be looked at.
     auto beyond = [&](const std::string &team) {
@@ -289,37 +344,44 @@
         any = any || (t.name != s.team && beyond(t.name) >= s.cpus);
     if (!any)
         return nullptr;
-    bidder *at = nullptr;
-    attempt_t *victim = nullptr;
-    for (auto *b : bidders) {
-        if (!b->m->up || !places[b->place] || now < b->m->refused_until ||
-            j.failed_on.count(b->m->name))
-            continue;
-        for (auto &ref : b->m->attempts) {
-            auto *other = job_of(ref.job);
-            if (!other || other->spec.team == s.team || other->spec.shape != job_shape::array)
-                continue;
-            auto i = other->live.find(ref.index);
-            if (i == other->live.end())
-                continue;
-            auto &a = i->second;
-            auto &o = other->spec;
-            if (!a.present() || a.stop_wanted || o.cpus < s.cpus || o.gpus < s.gpus ||
-                o.memory_gb < s.memory_gb || beyond(o.team) < o.cpus)
-                continue;
-            if (!victim || a.created_at > victim->created_at) {
-                victim = &a;
-                at = b;
-            }
-        }
+    if (!round.victims_known) {
+        round.victims_known = true;
+        for (auto *b : round.bidders)
+            if (b->m->up)
+                for (auto &ref : b->m->attempts) {
+                    auto *other = job_of(ref.job);
+                    if (!other || other->spec.shape != job_shape::array ||
+                        beyond(other->spec.team) < other->spec.cpus)
+                        continue;
+                    if (auto i = other->live.find(ref.index); i != other->live.end())
+                        round.victims.emplace_back(i->second.created_at, ref);
+                }
+        std::stable_sort(round.victims.begin(), round.victims.end(),
+                         [](auto &a, auto &b) { return a.first > b.first; });
     }
-    if (victim) {
-        auto &o = job_of(victim->task.job)->spec;
+    auto places = places_for(j);
+    for (auto &[created, ref] : round.victims) {
+        auto *other = job_of(ref.job);
+        if (!other || other->spec.team == s.team)
+            continue;
+        auto i = other->live.find(ref.index);
+        if (i == other->live.end())
+            continue;
+        auto &a = i->second;
+        auto &o = other->spec;
+        if (!a.present() || a.stop_wanted || o.cpus < s.cpus || o.gpus < s.gpus ||
+            o.memory_gb < s.memory_gb || beyond(o.team) < o.cpus)
+            continue;
+        auto at = bidders_.find(a.machine);
+        if (at == bidders_.end() || !places[at->second.place] ||
+            now < at->second.m->refused_until || j.failed_on.count(a.machine))
+            continue;
         stopping_[o.team] += o.cpus;
         ++made_room_;
-        stop_attempt(*victim, grace_of(o), now);
+        stop_attempt(a, grace_of(o), now);
+        return &at->second;
     }
-    return at;
+    return nullptr;
 }
 
 // A machine has nothing in its queue while tasks wait in queues elsewhere: all of those are bid
@@ -372,7 +434,10 @@
     rebid(now);
     count_usage();
     mark_guaranteed();
-    auto bidders = make_bidders(now);
+    bid_round round;
+    round.bidders = make_bidders(now);
+    for (std::size_t i = 0; i < round.bidders.size(); ++i)
+        round.bidders[i]->number = i;
     struct candidate {
         job_t *job;
         bool blocked = false;
@@ -390,7 +455,7 @@
             auto &first = list.front().job->spec;
             if (auto *t = teams_.find(name); t && t->cpus_max > 0 && first.cpus > 0)
                 limit = t->cpus_max / first.cpus;
-            for (auto &b : bidders)
+            for (auto *b : round.bidders)
                 slots += b->whole.slots(first);
             for (auto &x : list)
                 waiting.push_back(urgency_of(*x.job, now));
@@ -413,21 +478,23 @@
             }
             auto &list = next->second;
             auto &j = *list.front().job;
-            bool placed = teams_.within_limit(j.spec) && bid_once(j, bidders, now);
+            bool placed = teams_.within_limit(j.spec) && bid_once(j, round, now);
             if (!placed || j.waiting() == 0)
                 list.erase(list.begin());
             if (list.empty())
                 teams.erase(next);
         }
     }
+    // At full size most queues wait for the same task to end as in the round before.
     for (auto &[name, m] : machines_)
-        if (!m.queue.empty())
+        if (!m.queue.empty() && m.startable)
             start_queued(m, now);
 }
 
 void engine::start_queued(machine_t &m, double now) {
     if (!m.up || !m.usable() || m.silent || now < m.refused_until)
         return;
+    m.startable = false;
     bidding::room room{m.type.cpus, m.type.gpus, m.type.memory_gb};
     std::vector<attempt_t *> lower;
     bool stopping = false;
@@ -485,7 +552,7 @@
             room = sum;
         }
         m.queue.pop_front();
-        m.changed = true;
+        m.touch();
         j->queued.erase(t.task.index);
         room.take(j->spec);
         attempt_t a;
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -22,6 +22,7 @@
     bool known_type = false;
 
     double rented_at = 0; // s; when we asked for it or first saw it
+    double known_at = 0;  // s; when we first knew that it exists
     bool up = false;      // its worker has reported
     double up_at = 0;
     double listed_at = -1;  // s; first seen in a machine list
@@ -57,6 +58,7 @@
     std::map<std::string, double> image_gb;
     std::size_t place = 0;     // number of its type, zone and kind: job rules don't tell more apart
     bool changed = true;       // what it holds is not yet in its bidder
+    bool startable = true;     // its queue was not looked at since something changed
     std::vector<order> strays; // orders for tasks that nobody should have
 
     double speed = 1.0; // measured, relative to what was expected
@@ -78,6 +80,7 @@
     bool usable() const {
         return !deleting && !quarantined && doomed_at < 0 && known_type && deaf_since < 0;
     }
+    void touch() { changed = startable = true; }
     void use_image(const std::string &image, double gb, double now);
 };
 
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -1,6 +1,7 @@
 #include "constants.hpp"
 #include "control/engine.hpp"
 #include "membership/promises.hpp"
+#include "net/http.hpp"
 #include "settings/settings.hpp"
 #include "store/committer.hpp"
 #include "trace_runner.hpp"
@@ -438,6 +439,21 @@
               (std::vector<std::size_t>{1, 0}));
 }
 
+// Half as many machines again as the files show: their reports and the commands to them once took
+// every socket of the leader, which then heard nobody (simulated machines, a day of 2,250).
+TEST(sockets, commands_leave_room_for_reports) {
+    for (int all : {1200, 4189, 4233, 5000}) {
+        auto p = settings::plan_sockets(all);
+        EXPECT_LE(p.api + p.back + p.commands + c::other_sockets, static_cast<std::size_t>(all));
+        EXPECT_GE(p.api, static_cast<std::size_t>(0.7 * all));
+        EXPECT_GE(p.commands, 100u);
+    }
+    EXPECT_GE(settings::plan_sockets(20).api, 10u) << "few sockets are shared, not all kept back";
+    net::server_limits limits{1000, 75, 5};
+    EXPECT_FALSE(net::server::crowded(850, limits));
+    EXPECT_TRUE(net::server::crowded(851, limits));
+}
+
 // A zone with the leader is cut off; a controller outside accepts a cancel that the leader can't
 // hear of. Its worker's tasks must be gone in time although the leader could renew for ever.
 // Half as much again is asked for as can be served, for twenty minutes. With the largest giving way
