--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -140,8 +140,10 @@
     120.0; // s; a job without deadline or aim should be done by then
 inline constexpr double starved_s = 100.0; // s; a job that waited so long without a task is served
                                            // first: users give the largest 240 s
-inline constexpr double overdue_s =
-    150.0; // s; jobs late by more than the others are served by age, so that none starves
+inline constexpr double aged_s =
+    150.0; // s; a job past all due times that waited so long has a share of its own
+inline constexpr double aged_share =
+    0.05; // of the slots; for the oldest such job, so that large ones end while small ones keep coming
 inline constexpr double refused_pause_s =
     3.0; // s; a start that was refused is tried again after this
 
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -408,25 +408,28 @@
 fairness::waiting_job engine::urgency_of(const job_t &j, double now) const {
     fairness::waiting_job w;
     double expected = expected_s(j);
-    // Without a deadline of its own: what is aimed at for its class.
-    double due = j.spec.deadline_s.value_or(0);
-    if (due <= 0)
-        for (auto &o : settings_.objectives)
-            if (o.job_class == j.spec.job_class && o.within_s > 0) {
-                double d = o.kind == "wait" ? o.within_s + expected : o.within_s;
-                due = due > 0 ? std::min(due, d) : d;
-            }
-    if (due <= 0)
-        due = c::default_due_s;
-    w.due_in_s = j.accepted_at + due - now;
-    w.waited_s = now - j.accepted_at;
+    double own = j.spec.deadline_s.value_or(0), waited = now - j.accepted_at;
+    auto due = [&](double s) {
+        if (s > 0)
+            w.due_in_s.push_back(s - waited);
+    };
+    due(own);
+    // What is aimed at for its class: a job late for the first aim can be in time for the next.
+    for (auto &o : settings_.objectives)
+        if (o.job_class == j.spec.job_class) {
+            due(own * o.times);
+            if (o.within_s > 0)
+                due(o.kind == "wait" ? o.within_s + expected : o.within_s);
+        }
+    if (w.due_in_s.empty())
+        due(c::default_due_s);
+    std::sort(w.due_in_s.begin(), w.due_in_s.end());
+    w.waited_s = waited;
     w.begun = j.done_seen > 0 || !j.live.empty();
     w.longest_s = expected;
-    w.work_s = expected * (j.waiting() + static_cast<double>(j.queued.size()));
-    for (auto &[i, a] : j.live)
-        if (a.holds_room())
-            w.work_s += std::max(0.2 * a.estimate_s,
-                                 a.estimate_s - (a.running_since >= 0 ? now - a.running_since : 0));
+    // Of those that run, half is left on average; those done, but not yet durably, hold nothing.
+    w.held = static_cast<double>(j.live.size()) - static_cast<double>(j.done_seen - j.done_count);
+    w.work_s = expected * (j.waiting() + static_cast<double>(j.queued.size()) + 0.5 * w.held);
     return w;
 }
 
@@ -440,13 +443,13 @@
         round.bidders[i]->number = i;
     struct candidate {
         job_t *job;
-        bool blocked = false;
+        std::uint32_t most; // tasks in this turn
     };
     for (auto rank : {priority::critical, priority::high, priority::normal, priority::low}) {
         std::map<std::string, std::vector<candidate>> teams;
         for (auto &[id, j] : jobs_)
             if (j.spec.rank == rank && j.waiting() > 0 && now >= j.backoff_until)
-                teams[j.spec.team].push_back({&j});
+                teams[j.spec.team].push_back({&j, fairness::all_tasks});
         for (auto &[name, list] : teams) {
             if (list.size() < 2)
                 continue;
@@ -460,16 +463,16 @@
             for (auto &x : list)
                 waiting.push_back(urgency_of(*x.job, now));
             std::vector<candidate> sorted;
-            for (auto i : fairness::serving_order(waiting, std::min(slots, limit)))
-                sorted.push_back(list[i]);
-            list = std::move(sorted);
+            for (auto &t : fairness::serving_order(waiting, std::min(slots, limit)))
+                sorted.push_back({list[t.job].job, t.most});
+            list.assign(sorted.rbegin(), sorted.rend()); // served from the back
         }
         while (!teams.empty()) {
             // Turn by shares: first whoever is within its guarantee, then who uses least for it.
             auto next = teams.end();
             std::pair<bool, double> key;
             for (auto i = teams.begin(); i != teams.end(); ++i) {
-                auto &s = i->second.front().job->spec;
+                auto &s = i->second.back().job->spec;
                 std::pair<bool, double> k{!teams_.within_guarantee(s), teams_.share_used(i->first)};
                 if (next == teams.end() || k < key) {
                     next = i;
@@ -477,10 +480,11 @@
                 }
             }
             auto &list = next->second;
-            auto &j = *list.front().job;
+            auto &turn = list.back();
+            auto &j = *turn.job;
             bool placed = teams_.within_limit(j.spec) && bid_once(j, round, now);
-            if (!placed || j.waiting() == 0)
-                list.erase(list.begin());
+            if (!placed || j.waiting() == 0 || --turn.most == 0)
+                list.pop_back();
             if (list.empty())
                 teams.erase(next);
         }
--- a/src/fairness/team_order.hpp
+++ b/src/fairness/team_order.hpp
@@ -1,23 +1,33 @@
 // In which order a team's jobs of one rank are served while not all can run at once.
 #pragma once
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace spindlecroft::fairness {
 
 struct waiting_job {
-    double due_in_s = 0;  // until it should be complete
-    double work_s = 0;    // run time of its tasks that are not done
-    double longest_s = 0; // at least this long even with any number of machines
-    double waited_s = 0;  // since it was accepted
-    bool begun = false;   // some task of it has started
+    std::vector<double> due_in_s; // until the times by which it should be complete, the first first
+    double work_s = 0;            // run time of its tasks that are not done
+    double longest_s = 0;         // at least this long even with any number of machines
+    double waited_s = 0;          // since it was accepted
+    bool begun = false;           // some task of it has started
+    double held = 0;              // slots that it has now
 };
 
-// Serves by due time those that can still be in time together; where they can't all be, the one
-// with the most work gives way, since that saves the most others (Moore and Hodgson's rule). Those
-// that gave way come after, the shortest first. So that this starves no one, a job that has waited
-// long without any task goes before all others, and among the late those that are long overdue go
-// first, the oldest first. Returns positions in the given list. Pure.
-std::vector<std::size_t> serving_order(const std::vector<waiting_job> &jobs, double slots);
+// A job's turn: so many of its tasks, before the next turn.
+struct turn {
+    std::size_t job = 0; // position in the given list
+    std::uint32_t most = 0;
+    auto operator<=>(const turn &) const = default;
+};
+inline constexpr std::uint32_t all_tasks = ~std::uint32_t(0);
+
+// Least work first among the jobs that can still be complete by one of their due times, then the
+// others in the same way: while more is asked for than can be done, that lets the most jobs be in
+// time, and unlike the order by due time it does not fail them all by a little when estimates err.
+// So that it starves no one, a job that has waited long without any task begins before all others,
+// and the oldest of those long past all due times has a small share of the slots. Pure.
+std::vector<turn> serving_order(const std::vector<waiting_job> &jobs, double slots);
 
 } // namespace spindlecroft::fairness
