--- a/src/catalog/job.hpp
+++ b/src/catalog/job.hpp
@@ -63,11 +63,9 @@
     std::set<std::uint32_t> again;               // placed before, to be placed again
     std::map<std::uint32_t, std::string> queued; // in the queue of this machine
     std::map<std::uint32_t, attempt> live;
-    std::vector<bool> done_durable; // of these, written
-    double write_after = 0;         // s; pause after a conflict
-    std::set<std::uint32_t> done_dirty, done_busy,
-        done_keys;         // chunks to write, being written, there
-    double done_since = 0; // s; when a chunk became dirty
+    std::vector<bool> done_durable;               // of these, written
+    double write_after = 0;                       // s; pause after a conflict
+    std::map<std::uint32_t, std::string> done_in; // which record tells of this part of its tasks
 
     std::uint32_t image = 0; // number of its image
     // It fits its team's guarantee together with the team's earlier jobs: it need not wait for
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -524,22 +524,9 @@
     core->begin(now, member_.token(), wall_s() - now);
     for (auto &[id, j] : cache_.all())
         core->load_job(id, j.record, j.version, now);
-    auto split = [](const std::string &key, const char *prefix, std::string &job,
-                    std::uint32_t &chunk) {
-        auto rest = key.substr(std::string(prefix).size());
-        auto slash = rest.rfind('/');
-        if (slash == std::string::npos)
-            return false;
-        job = rest.substr(0, slash);
-        chunk = static_cast<std::uint32_t>(std::stoul(rest.substr(slash + 1)));
-        return true;
-    };
-    std::string job;
-    std::uint32_t chunk = 0;
     for (auto &i : done->items) {
         l->records.set_version(i.key, i.version);
-        if (split(i.key, done_prefix, job, chunk))
-            core->load_done(job, chunk, wire::parse_done_bits(i.value));
+        core->load_done(i.key.substr(std::string(done_prefix).size()), wire::parse_done(i.value));
     }
     for (auto &i : placed->items) {
         l->commits.set_version(i.key, i.version);
@@ -580,8 +567,9 @@
     case write_kind::placed:
         return store::urgency::placement;
     case write_kind::job_end:
+        return store::urgency::done; // users wait for it
     case write_kind::done:
-        return store::urgency::done;
+        return store::urgency::rest;
     case write_kind::rental:
         return store::urgency::placement;
     case write_kind::cleanup:
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -19,8 +19,8 @@
 std::string placed_key(const std::string &segment) {
     return placed_prefix + segment;
 }
-std::string done_key(const std::string &job, std::uint32_t chunk) {
-    return fmt::format("{}{}/{}", done_prefix, job, chunk);
+std::string done_key(const std::string &record) {
+    return done_prefix + record;
 }
 std::string rental_key(const std::string &round) {
     return rental_prefix + round;
@@ -119,19 +119,22 @@
         cancel_job(kept, r, now);
 }
 
-void engine::load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits) {
-    auto *j = job_of(job);
-    if (!j) {
-        clean_up(done_key(job, chunk));
-        return;
-    }
-    j->done_keys.insert(chunk);
-    for (std::size_t k = 0; k < bits.size(); ++k) {
-        std::size_t i = chunk * c::chunk_done + k;
-        if (bits[k] && i < j->done.size() && !j->done[i]) {
-            j->done[i] = j->done_durable[i] = true;
-            ++j->done_count;
-            ++j->done_seen;
+void engine::load_done(const std::string &record, const std::vector<wire::done_part> &parts) {
+    auto &kept = done_records_[record];
+    kept.open = false;
+    for (auto &p : parts) {
+        auto *j = job_of(p.job);
+        if (!j)
+            continue;
+        kept.parts.insert({p.job, p.part});
+        j->done_in[p.part] = record;
+        for (std::size_t k = 0; k < p.bits.size(); ++k) {
+            std::size_t i = p.part * c::part_done + k;
+            if (p.bits[k] && i < j->done.size() && !j->done[i]) {
+                j->done[i] = j->done_durable[i] = true;
+                ++j->done_count;
+                ++j->done_seen;
+            }
         }
     }
 }
@@ -268,6 +271,18 @@
     dirty_ = true;
 }
 
+// Guards against tasks that wait for ever on a machine that gets no more work: what was placed there,
+// but never sent, goes elsewhere (a machine is quarantined for good, world 30).
+void engine::withdraw(machine_t &m) {
+    unqueue(m);
+    auto refs = m.attempts;
+    for (auto &ref : refs)
+        if (auto *j = job_of(ref.job))
+            if (auto i = j->live.find(ref.index);
+                i != j->live.end() && i->second.phase == attempt_phase::committed)
+                drop_attempt(*j, ref.index, true);
+}
+
 void engine::drop_attempt(job_t &j, std::uint32_t index, bool again) {
     auto i = j.live.find(index);
     if (i == j.live.end())
@@ -361,7 +376,7 @@
     if (r.notice_s) {
         if (m.doomed_at < 0) {
             m.doomed_at = now + *r.notice_s;
-            unqueue(m);
+            withdraw(m);
             // What can't finish or save in time starts again elsewhere at once.
             for (auto &ref : m.attempts)
                 if (auto *j = job_of(ref.job))
@@ -468,13 +483,7 @@
         return;
     spdlog::info("{}: does not hear us, gets no more work", m.name);
     m.deaf_since = now;
-    unqueue(m);
-    auto refs = m.attempts;
-    for (auto &ref : refs)
-        if (auto *j = job_of(ref.job))
-            if (auto i = j->live.find(ref.index);
-                i != j->live.end() && i->second.phase == attempt_phase::committed)
-                drop_attempt(*j, ref.index, true);
+    withdraw(m);
 }
 
 // A task that runs without our knowing must count everywhere until it is stopped.
@@ -537,7 +546,7 @@
                 if (auto i = machines_.find(name); i != machines_.end() && name != m.name &&
                                                    i->second.error_jobs.count(j.spec.id)) {
                     i->second.quarantined = true;
-                    unqueue(i->second);
+                    withdraw(i->second);
                 }
             j.failed_on.clear();
             j.failures = 0;
@@ -580,7 +589,7 @@
         if (!m.quarantined)
             spdlog::info("{}: quarantined, tasks fail there", m.name);
         m.quarantined = true;
-        unqueue(m);
+        withdraw(m);
     }
     if (j.failed_on.size() >= 2 && !job_works) {
         // It fails wherever it goes: it waits longer and longer, and harms no one else.
@@ -643,9 +652,7 @@
             j.again.insert(j.next_fresh);
     j.done[index] = true;
     ++j.done_seen;
-    if (j.done_dirty.empty())
-        j.done_since = now;
-    j.done_dirty.insert(static_cast<std::uint32_t>(index / c::chunk_done));
+    note_done(j, index, now);
 }
 
 // --- orders ---
@@ -842,14 +849,7 @@
     spdlog::info("{} ({} {} {}): to be deleted, {}", m.name, m.type.name, m.zone,
                  m.spot ? "spot" : "ordinary", why);
     m.deleting = true;
-    unqueue(m);
-    // What was never sent need not wait for the deletion.
-    auto refs = m.attempts;
-    for (auto &ref : refs)
-        if (auto *j = job_of(ref.job))
-            if (auto i = j->live.find(ref.index);
-                i != j->live.end() && i->second.phase == attempt_phase::committed)
-                drop_attempt(*j, ref.index, true);
+    withdraw(m);
 }
 
 std::vector<std::string> engine::take_deletions(double now) {
@@ -989,17 +989,6 @@
     e.stage = j.cancelled ? job_stage::cancelled : job_stage::done;
     e.done = j.done_seen;
     w.ops.push_back({ended_key(w.job), wire::encode_ended(e), 0});
-    // The job's other records go with it, as far as a transaction holds.
-    std::vector<std::string> rest;
-    for (auto k : j.done_keys)
-        rest.push_back(done_key(w.job, k));
-    std::size_t room = static_cast<std::size_t>(std::max(2, settings_.txn_ops / 2));
-    for (auto &key : rest) {
-        if (w.ops.size() < room)
-            w.ops.push_back({key, "", 0});
-        else
-            clean_up(key);
-    }
     return w;
 }
 
@@ -1134,6 +1123,108 @@
         clean_up(placed_key(i->first));
         i = segments_.erase(i);
     }
+    for (auto i = done_records_.begin(); i != done_records_.end();) {
+        auto &r = i->second;
+        std::erase_if(r.parts, [&](auto &p) { return !job_of(p.first); });
+        if (r.busy || r.open || !r.parts.empty()) {
+            ++i;
+            continue;
+        }
+        clean_up(done_key(i->first));
+        i = done_records_.erase(i);
+    }
+}
+
+void engine::note_done(job_t &j, std::uint32_t index, double now) {
+    auto part = static_cast<std::uint32_t>(index / c::part_done);
+    auto &name = j.done_in[part];
+    if (name.empty()) {
+        auto tasks = std::min<std::size_t>(j.spec.tasks - part * c::part_done, c::part_done);
+        auto bytes = wire::done_bytes(j.spec.id, tasks);
+        auto open = done_records_.find(open_done_);
+        if (open == done_records_.end() ||
+            open->second.bytes + bytes >
+                static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024)) {
+            if (open != done_records_.end())
+                open->second.open = false;
+            open_done_ = fmt::format("{}-{}", first_token_, ++done_counter_);
+            open = done_records_.emplace(open_done_, done_record{}).first;
+        }
+        open->second.bytes += bytes;
+        open->second.parts.insert({j.spec.id, part});
+        name = open_done_;
+    }
+    auto &r = done_records_[name];
+    if (!r.dirty)
+        r.since = now;
+    r.dirty = true;
+}
+
+// A job's last done tasks are in its ended record; until then all jobs share a few records.
+void engine::write_done(std::vector<durable_write> &out, double now, std::size_t &room) {
+    std::vector<std::pair<double, std::string>> due;
+    for (auto &[name, r] : done_records_)
+        if (r.dirty && !r.busy && now - r.since >= c::done_gap_s)
+            due.emplace_back(r.since, name);
+    std::sort(due.begin(), due.end());
+    for (auto &[since, name] : due) {
+        if (room == 0)
+            break;
+        auto &r = done_records_[name];
+        r.dirty = false;
+        durable_write w;
+        w.kind = write_kind::done;
+        w.segment = name;
+        std::vector<wire::done_part> parts;
+        for (auto i = r.parts.begin(); i != r.parts.end();) {
+            auto *j = job_of(i->first);
+            if (!j || j->over()) {
+                i = r.parts.erase(i); // its ended record tells all
+                continue;
+            }
+            wire::done_part p{i->first, i->second, {}};
+            auto first = i->second * c::part_done;
+            for (auto k = first; k < std::min<std::size_t>(j->spec.tasks, first + c::part_done);
+                 ++k) {
+                p.bits.push_back(j->done[k]);
+                if (j->done[k] && !j->done_durable[k])
+                    w.done.push_back({i->first, static_cast<std::uint32_t>(k)});
+            }
+            parts.push_back(std::move(p));
+            ++i;
+        }
+        if (w.done.empty())
+            continue;
+        w.ops.push_back({done_key(name), wire::encode_done(parts), 0});
+        r.busy = true;
+        out.push_back(std::move(w));
+        --room;
+    }
+}
+
+void engine::on_done_written(const durable_write &w, bool ok, double now) {
+    auto r = done_records_.find(w.segment);
+    if (r != done_records_.end()) {
+        r->second.busy = false;
+        if (!ok) {
+            r->second.dirty = true;
+            r->second.since = now + c::state_retry_s - c::done_gap_s;
+        }
+    }
+    if (!ok)
+        return;
+    for (auto &t : w.done) {
+        auto *j = job_of(t.job);
+        if (!j)
+            continue;
+        if (!j->done_durable[t.index]) {
+            j->done_durable[t.index] = true;
+            ++j->done_count;
+        }
+        if (auto i = j->live.find(t.index);
+            i != j->live.end() && i->second.phase == attempt_phase::exited)
+            drop_attempt(*j, t.index, false);
+    }
 }
 
 std::vector<durable_write> engine::take_writes(double now, std::size_t room) {
@@ -1142,7 +1233,6 @@
         return out;
     write_placements(out, now);
     sweep_segments(now);
-    std::vector<std::pair<double, job_t *>> unsaved; // jobs with done records to write
     for (auto &[id, j] : jobs_) {
         if (j.end_writing || j.ended || now < j.write_after)
             continue;
@@ -1154,44 +1244,11 @@
                 if (a.phase != attempt_phase::exited)
                     complete = false;
         if (complete || cleared) {
-            if (j.done_busy.empty()) {
-                j.end_writing = true;
-                out.push_back(end_write(j));
-            }
-            continue;
-        }
-        // The last task's end is in the job's ended record; until then several share a write.
-        if (!j.cancelled && !j.done_dirty.empty() && now - j.done_since >= c::done_gap_s)
-            unsaved.emplace_back(j.done_since, &j);
-    }
-    std::sort(unsaved.begin(), unsaved.end(), [](auto &a, auto &b) { return a.first < b.first; });
-    for (auto &[since, job] : unsaved) {
-        if (room == 0)
-            break;
-        auto &j = *job;
-        auto dirty = j.done_dirty;
-        for (auto chunk : dirty) {
-            if (j.done_busy.count(chunk))
-                continue;
-            durable_write w;
-            w.kind = write_kind::done;
-            w.job = j.spec.id;
-            w.chunk = chunk;
-            std::vector<bool> bits;
-            for (std::size_t i = chunk * c::chunk_done;
-                 i < std::min<std::size_t>(j.spec.tasks, (chunk + 1) * c::chunk_done); ++i) {
-                bits.push_back(j.done[i]);
-                if (j.done[i] && !j.done_durable[i])
-                    w.done.push_back(static_cast<std::uint32_t>(i));
-            }
-            j.done_dirty.erase(chunk);
-            w.ops.push_back({done_key(w.job, chunk), wire::encode_done_bits(bits), 0});
-            j.done_busy.insert(chunk);
-            j.done_keys.insert(chunk);
-            out.push_back(std::move(w));
-            room -= room > 0;
+            j.end_writing = true;
+            out.push_back(end_write(j));
         }
     }
+    write_done(out, now, room);
     write_rentals(out);
     while (!cleanup_.empty() && room > 0) {
         out.push_back(std::move(cleanup_.back()));
@@ -1250,27 +1307,14 @@
         on_placements_written(w, ok, now);
         return;
     }
+    if (w.kind == write_kind::done) {
+        on_done_written(w, ok, now);
+        return;
+    }
     auto *j = job_of(w.job);
     if (!j)
         return;
     switch (w.kind) {
-    case write_kind::done:
-        j->done_busy.erase(w.chunk);
-        if (!ok) {
-            j->done_dirty.insert(w.chunk);
-            j->write_after = now + c::state_retry_s;
-            break;
-        }
-        for (auto index : w.done) {
-            if (!j->done_durable[index]) {
-                j->done_durable[index] = true;
-                ++j->done_count;
-            }
-            if (auto i = j->live.find(index);
-                i != j->live.end() && i->second.phase == attempt_phase::exited)
-                drop_attempt(*j, index, false);
-        }
-        break;
     case write_kind::job_end:
         if (!ok) {
             // A cancel came first; the watch will tell.
@@ -1283,6 +1327,7 @@
         jobs_.erase(w.job);
         break;
     case write_kind::placed:
+    case write_kind::done:
     case write_kind::cleanup:
     case write_kind::rental:
         break;
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -23,7 +23,7 @@
 std::string active_key(const std::string &job);
 std::string ended_key(const std::string &job);
 std::string placed_key(const std::string &segment);
-std::string done_key(const std::string &job, std::uint32_t chunk);
+std::string done_key(const std::string &record);
 std::string rental_key(const std::string &round);
 inline constexpr const char *active_prefix = "j/a/";
 inline constexpr const char *ended_prefix = "j/e/";
@@ -40,12 +40,11 @@
 struct durable_write {
     write_kind kind = write_kind::placed;
     std::string job;
-    std::uint32_t chunk = 0;
     std::vector<txn_condition> when; // on keys that others write too
     std::vector<txn_op> ops;         // on keys that only the leader writes, and the job's record
-    std::string segment;             // placed: the record's name
+    std::string segment;             // placed, done: the record's name
     std::vector<std::pair<catalog::task_ref, std::uint64_t>> attempts; // placed: newly covered
-    std::vector<std::uint32_t> done;                                   // done: newly covered
+    std::vector<catalog::task_ref> done;                               // done: newly covered
     std::string rental;                                                // rental: the round's name
 };
 
@@ -69,7 +68,7 @@
     void begin(double now, std::uint64_t token, double wall_offset);
     void load_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
                   double now);
-    void load_done(const std::string &job, std::uint32_t chunk, const std::vector<bool> &bits);
+    void load_done(const std::string &record, const std::vector<wire::done_part> &parts);
     void load_placed(const std::string &segment, const std::vector<wire::placed_task> &tasks,
                      double now);
     void load_rental(const std::string &round, const wire::rental_record &r, double now);
@@ -156,6 +155,7 @@
     void clear_machine(machine_t &m, bool gone, double now);
     void remove_machine(const std::string &name, double now);
     void unqueue(machine_t &m);
+    void withdraw(machine_t &m);
     void unqueue_task(job_t &j, std::uint32_t index);
     void check_hearing(machine_t &m, const worker_report &r, bool new_session, double now);
     void adopt(machine_t &m, job_t &j, const task_report &t, double now);
@@ -205,6 +205,9 @@
     durable_write end_write(job_t &j);
     void on_placements_written(const durable_write &w, bool ok, double now);
     void write_placements(std::vector<durable_write> &out, double now);
+    void note_done(job_t &j, std::uint32_t index, double now);
+    void write_done(std::vector<durable_write> &out, double now, std::size_t &room);
+    void on_done_written(const durable_write &w, bool ok, double now);
     void sweep_segments(double now);
     void clean_up(const std::string &key);
     void write_rentals(std::vector<durable_write> &out);
@@ -232,6 +235,17 @@
         bool busy = false, open = true;
     };
     std::map<std::string, segment> segments_;
+    // Done tasks share records in the same way: at full size one for each job would take more
+    // changes a second than the state service allows.
+    struct done_record {
+        std::set<std::pair<std::string, std::uint32_t>> parts; // of jobs
+        std::size_t bytes = 0;
+        bool busy = false, open = true, dirty = false;
+        double since = 0; // s; when it became dirty
+    };
+    std::map<std::string, done_record> done_records_;
+    std::string open_done_;
+    std::uint64_t done_counter_ = 0;
     std::string open_segment_[2];               // of arrays; of services, which stay for long
     std::deque<catalog::task_ref> unplaced_[2]; // attempts that no record covers yet
     std::uint64_t segment_counter_ = 0;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -2,6 +2,7 @@
 #include "constants.hpp"
 #include <boost/json.hpp>
 #include <cbor.h>
+#include <charconv>
 #include <cmath>
 #include <fmt/format.h>
 #include <memory>
@@ -646,7 +647,7 @@
     return out;
 }
 
-std::string encode_done_bits(const std::vector<bool> &bits) {
+static std::string hex_of(const std::vector<bool> &bits) {
     static constexpr char digits[] = "0123456789abcdef";
     std::string hex;
     for (std::size_t i = 0; i < bits.size(); i += 4) {
@@ -656,22 +657,42 @@
                 n |= 1 << k;
         hex += digits[n];
     }
-    return "\"" + hex + "\"";
+    return hex;
 }
 
-std::vector<bool> parse_done_bits(const std::string &value) {
-    auto v = parse_any(value);
-    if (!v.is_string())
-        fail("done", "must be a text");
-    std::vector<bool> bits;
-    for (char c : v.get_string()) {
-        int n = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
-        if (n < 0)
-            fail("done", "must be hex digits");
-        for (int k = 0; k < 4; ++k)
-            bits.push_back((n >> k) & 1);
+std::string encode_done(const std::vector<done_part> &parts) {
+    json::object o;
+    for (auto &p : parts)
+        o[fmt::format("{}/{}", p.job, p.part)] = hex_of(p.bits);
+    return json::serialize(o);
+}
+
+std::size_t done_bytes(const std::string &job, std::size_t tasks) {
+    return job.size() + (tasks + 3) / 4 + 12; // the part's number, quotes, colon and comma
+}
+
+std::vector<done_part> parse_done(const std::string &value) {
+    auto o = parse_object(value);
+    std::vector<done_part> out;
+    for (auto &[key, hex] : o) {
+        std::string name(key);
+        auto slash = name.rfind('/');
+        done_part p;
+        auto *end = name.data() + name.size();
+        if (slash == std::string::npos || !hex.is_string() || name.data() + slash + 1 == end ||
+            std::from_chars(name.data() + slash + 1, end, p.part).ptr != end)
+            fail("done", "must hold parts of jobs");
+        p.job = name.substr(0, slash);
+        for (char c : hex.get_string()) {
+            int n = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+            if (n < 0)
+                fail("done", "must be hex digits");
+            for (int k = 0; k < 4; ++k)
+                p.bits.push_back((n >> k) & 1);
+        }
+        out.push_back(std::move(p));
     }
-    return bits;
+    return out;
 }
 
 std::string encode_leader(const leader_record &r) {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -106,8 +106,18 @@
 // At most so many bytes does one more placement add.
 std::size_t placed_bytes(const placed_task &t);
 std::vector<placed_task> parse_placed(const std::string &value);
-std::string encode_done_bits(const std::vector<bool> &bits);
-std::vector<bool> parse_done_bits(const std::string &value);
+// Which tasks of a part of a job are done.
+struct done_part {
+    std::string job;
+    std::uint32_t part = 0;
+    std::vector<bool> bits;
+    bool operator==(const done_part &) const = default;
+};
+// Done tasks of any jobs.
+std::string encode_done(const std::vector<done_part> &parts);
+// At most so many bytes does a part of so many tasks take.
+std::size_t done_bytes(const std::string &job, std::size_t tasks);
+std::vector<done_part> parse_done(const std::string &value);
 struct leader_record {
     std::string node, incarnation;
     std::uint64_t raise = 0; // counts the raises of the token within one leadership
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -273,12 +273,8 @@
 
     std::map<std::string, std::string> store;
     void load(const std::string &key, const std::string &value, double now) {
-        auto slash = key.rfind('/');
-        auto chunk = static_cast<std::uint32_t>(
-            key.rfind("d/", 0) == 0 ? std::stoul(key.substr(slash + 1)) : 0);
-        auto job = key.substr(2, slash - 2);
         if (key.rfind("d/", 0) == 0)
-            core->load_done(job, chunk, wire::parse_done_bits(value));
+            core->load_done(key.substr(2), wire::parse_done(value));
         else if (key.rfind("p/", 0) == 0)
             core->load_placed(key.substr(2), wire::parse_placed(value), now);
         else if (key.rfind("m/", 0) == 0)
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -68,13 +68,24 @@
     EXPECT_THROW(wire::parse_submission("{"), wire::bad_message);
 }
 
-TEST(wire, done_bits_survive) {
-    std::vector<bool> bits(4096);
-    for (std::size_t i = 0; i < bits.size(); i += 7)
-        bits[i] = true;
-    auto text = wire::encode_done_bits(bits);
-    EXPECT_LE(text.size(), 1100u); // fits the smallest value limit
-    EXPECT_EQ(wire::parse_done_bits(text), bits);
+TEST(wire, done_parts_take_no_more_bytes_than_counted) {
+    std::vector<wire::done_part> parts;
+    std::size_t counted = 2;
+    for (std::uint32_t part = 0; part < 12; ++part) {
+        parts.push_back({"job-000412", part, std::vector<bool>(part == 3 ? 4096 : 4 * (part + 1))});
+        for (std::size_t i = 0; i < parts.back().bits.size(); i += 7)
+            parts.back().bits[i] = true;
+        counted += wire::done_bytes(parts.back().job, parts.back().bits.size());
+    }
+    auto text = wire::encode_done(parts);
+    EXPECT_LE(text.size(), counted);
+    EXPECT_LE(wire::done_bytes("job-000412", 4096), 1100u) << "fits the smallest value limit";
+    auto got = wire::parse_done(text);
+    std::sort(got.begin(), got.end(), [](auto &x, auto &y) { return x.part < y.part; });
+    EXPECT_EQ(got, parts);
+    for (auto bad :
+         {"[]", R"({"job-1":"0"})", R"({"job-1/x":"0"})", R"({"job-1/0":"g"})", R"({"job-1/0":1})"})
+        EXPECT_THROW(wire::parse_done(bad), wire::bad_message) << bad;
 }
 
 TEST(wire, placements_take_no_more_bytes_than_counted) {
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -366,11 +366,8 @@
             core->load_job(id, r.job, r.version, now);
         for (int pass = 0; pass < 2; ++pass) // done records before placements
             for (auto &[key, value] : kv) {
-                auto slash = key.rfind('/');
-                auto job = key.substr(2, slash - 2);
                 if (pass == 0 && key[0] == 'd')
-                    core->load_done(job, static_cast<unsigned>(std::stoul(key.substr(slash + 1))),
-                                    wire::parse_done_bits(value));
+                    core->load_done(key.substr(2), wire::parse_done(value));
                 if (pass == 1 && key[0] == 'p')
                     core->load_placed(key.substr(2), wire::parse_placed(value), now);
                 if (pass == 1 && key[0] == 'm')
