--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -84,6 +84,8 @@
 inline constexpr std::size_t commit_queue = 4000; // waiting changes; beyond it users get 503
 inline constexpr std::uint64_t part_done =
     4096; // tasks of a job in one part of a done record (1 KiB as hex digits)
+inline constexpr double placement_share =
+    0.4; // of the leader's writes; what arrays' placements may take while more than that is asked for
 inline constexpr double placed_fill =
     0.9; // share of the largest value that a placement record takes
 inline constexpr double done_gap_s =
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -567,7 +567,7 @@
     case write_kind::placed:
         return store::urgency::placement;
     case write_kind::job_end:
-        return store::urgency::done; // users wait for it
+        return store::urgency::accept; // users wait for it
     case write_kind::done:
         return store::urgency::rest;
     case write_kind::rental:
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -271,8 +271,8 @@
     dirty_ = true;
 }
 
-// Guards against tasks that wait for ever on a machine that gets no more work: what was placed there,
-// but never sent, goes elsewhere (a machine is quarantined for good, world 30).
+// Guards against tasks that wait for ever on a machine that gets no more work: what was placed
+// there, but never sent, goes elsewhere (a machine is quarantined for good, world 30).
 void engine::withdraw(machine_t &m) {
     unqueue(m);
     auto refs = m.attempts;
@@ -1005,6 +1005,10 @@
             auto &seg = segments_[name];
             if (seg.busy)
                 break; // the next write takes all that gathers meanwhile
+            // Guards against placements that take every change the state service allows, one for
+            // each few tasks, while the records of ended jobs wait and users hear of them too late.
+            if (kind == 0 && now < next_placement_)
+                break;
             std::erase_if(seg.tasks, [&](auto &t) {
                 return !attempt_of({t.job, t.index}, t.attempt);
             });
@@ -1048,6 +1052,9 @@
             waiting.insert(waiting.begin(), later.begin(), later.end());
             if (!w.attempts.empty()) {
                 w.ops.push_back({placed_key(name), wire::encode_placed(seg.tasks), 0});
+                if (kind == 0 && !full)
+                    next_placement_ = now + 1 / (c::placement_share * c::leader_write_share *
+                                                 c::state_share * settings_.state_write_rps);
                 seg.busy = true;
                 out.push_back(std::move(w));
             }
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -249,7 +249,7 @@
     std::string open_segment_[2];               // of arrays; of services, which stay for long
     std::deque<catalog::task_ref> unplaced_[2]; // attempts that no record covers yet
     std::uint64_t segment_counter_ = 0;
-    double last_sweep_ = -1e9;
+    double last_sweep_ = -1e9, next_placement_ = -1e9; // s
     std::set<std::string> urgent_;
     std::map<std::string, job_spec> services_seen_; // largest recent replica of each class
     std::map<std::string, double> services_at_;
