--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -79,7 +79,7 @@
 inline constexpr double watch_gap_s = 0.10;  // s; between two openings of the leader's long watch
 inline constexpr double follower_watch_gap_s =
     1.0; // s; the same elsewhere: there each poll asks for its own read
-inline constexpr int watch_hold_ms = 10'000;      // ms; a watch without news returns after this
+inline constexpr int watch_hold_ms = 10'000; // ms; a watch without news returns after this
 inline constexpr double write_patience_s =
     0.4; // s; a change that waited so long is not passed by more urgent ones any more
 inline constexpr double state_retry_s = 0.25;     // s; pause after a refusal
@@ -87,7 +87,7 @@
 inline constexpr std::uint64_t part_done =
     4096; // tasks of a job in one part of a done record (1 KiB as hex digits)
 inline constexpr double placement_share =
-    0.4; // of the leader's writes; what arrays' placements may take while more than that is asked for
+    0.4; // of the leader's writes; no more goes to placements of arrays
 inline constexpr double placed_fill =
     0.9; // share of the largest value that a placement record takes
 inline constexpr double done_gap_s =
@@ -148,7 +148,7 @@
 inline constexpr double aged_s =
     150.0; // s; a job past all due times that waited so long has a share of its own
 inline constexpr double aged_share =
-    0.05; // of the slots; for the oldest such job, so that large ones end while small ones keep coming
+    0.05; // of the slots; for the oldest such job, so that large ones end too
 inline constexpr double refused_pause_s =
     3.0; // s; a start that was refused is tried again after this
 
