--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -950,9 +950,13 @@
         if (!m.up)
             m.rented_at = std::min(m.rented_at, s.asked_at);
     }
-    if (static_cast<int>(machines.size()) < s.what.count)
-        refused_[fmt::format("{}|{}|{}", s.what.type, s.what.zone, s.what.spot)] =
-            now + c::refused_capacity_s;
+    auto key = offer_key(s.what.type, s.what.zone, s.what.spot);
+    if (static_cast<int>(machines.size()) < s.what.count) {
+        refused_[key] = now + c::refused_capacity_s;
+        sold_out_.insert(key);
+    } else {
+        sold_out_.erase(key);
+    }
     dirty_ = true;
 }
 
@@ -961,8 +965,9 @@
     if (i == rentals_.end())
         return;
     auto &s = i->second;
-    refused_[fmt::format("{}|{}|{}", s.what.type, s.what.zone, s.what.spot)] =
-        now + c::refused_capacity_s;
+    auto key = offer_key(s.what.type, s.what.zone, s.what.spot);
+    refused_[key] = now + c::refused_capacity_s;
+    sold_out_.insert(key);
     s.asking = false;
     s.answered = true; // with no machines
     s.machines.clear();
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -226,6 +226,9 @@
     std::map<std::string, rental_round> rental_rounds_;
     std::map<std::string, double> removed_; // machines that are gone, with the time
     std::map<std::string, double> refused_; // offers without capacity, until when
+    std::set<std::string> sold_out_;   // offers whose last answer was not all that was asked for
+    std::map<std::string, int> asked_; // machines asked for by offer, not answered yet
+    static std::string offer_key(const std::string &type, const std::string &zone, bool spot);
     std::vector<durable_write> cleanup_;
     // Placements of any jobs share records, filled one after another, so that a round of placements
     // costs one change at the state service, however many jobs it touches.
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -11,6 +11,10 @@
 using catalog::attempt_phase;
 namespace c = constants;
 
+std::string engine::offer_key(const std::string &type, const std::string &zone, bool spot) {
+    return fmt::format("{}|{}|{}", type, zone, spot);
+}
+
 // The cheapest place for such a task that was not refused of late.
 std::optional<rental_offer> engine::cheapest_offer(const job_spec &s, bool spot,
                                                    const std::set<std::string> *zones,
@@ -26,9 +30,16 @@
         for (auto &z : t.zones) {
             if ((s.zone && *s.zone != z) || (zones && !zones->count(z)))
                 continue;
-            auto refused = refused_.find(fmt::format("{}|{}|{}", t.name, z, spot));
+            auto key = offer_key(t.name, z, spot);
+            auto refused = refused_.find(key);
             if (refused != refused_.end() && refused->second > now)
                 continue;
+            // Guards against asking many times over for what is sold out: each request costs a call
+            // to the cloud and a part of a record. One asks; more follow when it was filled.
+            auto asked = asked_.find(key);
+            if (asked != asked_.end() && asked->second >= c::hosts_per_request &&
+                sold_out_.count(key))
+                continue;
             double per_slot = price / slots;
             if (!best || per_slot < best->price_per_slot * 0.999)
                 best = rental_offer{&t, z, spot, slots, per_slot};
@@ -40,6 +51,7 @@
 void engine::rent(const rental_offer &o, int count, double now) {
     // Wishes of one round for the same kind of machine share a request, and all requests of a round
     // a record, as far as it holds.
+    asked_[offer_key(o.type->name, o.zone, o.spot)] += count;
     std::size_t in_round = 0;
     auto round = fmt::format("{}-{}", first_token_, rental_round_);
     for (auto &[request, r] : rentals_)
@@ -265,9 +277,11 @@
     std::vector<bidder> fleet; // copies: what is planned here is no promise
     for (auto *b : make_bidders(now))
         fleet.push_back(*b);
+    asked_.clear();
     for (auto &[request, s] : rentals_) {
         if (s.answered)
             continue;
+        asked_[offer_key(s.what.type, s.what.zone, s.what.spot)] += s.what.count;
         auto *t = type_of(s.what.type);
         if (!t)
             continue;
