--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -491,7 +491,7 @@
             types = wire::parse_types(i->kv.value);
             types_version = i->kv.version;
         } else if (i) {
-            auto r = co_await cloud_call("GET", wire::path_types, "");
+            auto r = co_await cloud_call(l, "GET", wire::path_types, "");
             if (r.ok()) {
                 try {
                     types = wire::parse_types(r.body);
@@ -640,10 +640,14 @@
         member_.resign("not entitled any more");
 }
 
-awaitable<net::reply> controller::cloud_call(std::string method, std::string target,
-                                             std::string body) {
+awaitable<net::reply> controller::cloud_call(std::shared_ptr<leadership> l, std::string method,
+                                             std::string target, std::string body) {
     while (!cloud_budget_.take(1, store::urgency::leadership, now_s()))
         co_await net::sleep_s(0.05);
+    // Guards against a leader that stood still, or waited for the cloud's limit, and is none any
+    // more: it would delete machines that the next one uses.
+    if (!in_charge(l))
+        co_return net::reply{};
     auto r = co_await cloud_.call(std::move(method), std::move(target), std::move(body),
                                   c::cloud_timeout_s);
     if (r.how == net::outcome::answered && r.status == 429)
@@ -659,7 +663,7 @@
         std::string after;
         bool whole = false;
         while (in_charge(l)) {
-            auto r = co_await cloud_call("GET", wire::hosts_target(after, c::host_page), "");
+            auto r = co_await cloud_call(l, "GET", wire::hosts_target(after, c::host_page), "");
             if (!r.ok())
                 break;
             try {
@@ -681,7 +685,7 @@
         }
         if (now_s() > next_types) {
             next_types = now_s() + c::types_refresh_s;
-            auto r = co_await cloud_call("GET", wire::path_types, "");
+            auto r = co_await cloud_call(l, "GET", wire::path_types, "");
             if (r.ok() && in_charge(l)) {
                 try {
                     auto t = wire::parse_types(r.body);
@@ -699,7 +703,7 @@
 awaitable<void> controller::rent(std::shared_ptr<leadership> l, rental r) {
     if (!in_charge(l))
         co_return;
-    auto a = co_await cloud_call("POST", wire::path_hosts, wire::encode_rental(r));
+    auto a = co_await cloud_call(l, "POST", wire::path_hosts, wire::encode_rental(r));
     if (!in_charge(l))
         co_return;
     try {
@@ -720,7 +724,7 @@
 }
 
 awaitable<void> controller::remove(std::shared_ptr<leadership> l, std::vector<std::string> names) {
-    auto a = co_await cloud_call("POST", wire::path_hosts_delete, wire::encode_delete(names));
+    auto a = co_await cloud_call(l, "POST", wire::path_hosts_delete, wire::encode_delete(names));
     if (l->over || !l->core)
         co_return;
     if (a.ok()) {
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -45,7 +45,8 @@
     net::awaitable<void> rent(std::shared_ptr<leadership> l, rental r);
     net::awaitable<void> remove(std::shared_ptr<leadership> l, std::vector<std::string> names);
     net::awaitable<void> command(std::shared_ptr<leadership> l, std::string machine);
-    net::awaitable<net::reply> cloud_call(std::string method, std::string target, std::string body);
+    net::awaitable<net::reply> cloud_call(std::shared_ptr<leadership> l, std::string method,
+                                          std::string target, std::string body);
     bool may_renew(double now) const;
     bool in_charge(const std::shared_ptr<leadership> &l) const;
 
