Cancels travel by name between controllers; nobody gives way for an outage

Change: each controller keeps a log of durable cancels (its own before the user is told, others' as read) which the leader reads by number with its promise round; another controller's read of the state service counts like one's own. A blind leader still answers machines that hold nothing. It gives way only on word of the state service that is no older than 0.25 s and had no failure since.

A cancel's time is counted with both clocks' bounds, not one.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -56,6 +56,13 @@
 inline constexpr double candidacy_jitter_s = 0.35; // s; spreads candidates that saw the same end
 inline constexpr double resign_blind_s =
     4.0; // s; a leader this long without state gives way to one with it
+inline constexpr double served_s =
+    2.5; // s; a node whose last answer from the state service is older can't say that it is served
+inline constexpr double fresh_word_s =
+    0.25; // s; a leader gives way only on word of the state service that is no older
+inline constexpr std::size_t cancels_kept =
+    4000; // cancels at hand for the leader; some minutes of them, about 0.5 MB
+inline constexpr std::size_t cancels_per_answer = 400; // cancels; 50 KiB with the longest ids
 inline constexpr double resign_deaf_s =
     8.0; // s; a leader this long without reports gives way to one with them
 inline constexpr double resign_pause_s = 20.0; // s; it does not stand again for this long
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -25,6 +25,8 @@
     net::signal wake;
     bool over = false;
     std::set<std::string> commanding;
+    // Cancels told by other controllers or confirmed here that the records don't show yet.
+    std::map<std::string, cancel_notice> cancels;
     std::uint64_t reports = 0, commands = 0;                     // since the last summary
     std::map<std::string, std::shared_ptr<net::client>> workers; // by address
 };
@@ -58,9 +60,26 @@
         if (lead_ && lead_->core)
             lead_->core->on_token(token);
     };
+    member_.records = [this] {
+        return membership::member::records_view{cache_.loaded(), cache_.revision(),
+                                                cache_.fresh_at()};
+    };
+    member_.want_read = [this] { cache_.want_read(); };
+    member_.on_cancels = [this](const std::vector<cancel_notice> &news) {
+        for (auto &n : news)
+            obey_cancel(n);
+    };
     cache_.on_active = [this](const std::string &id, const catalog::cached_job &j) {
+        if (j.record.cancelled)
+            member_.note_cancel({id, j.version, j.record.cancelled_at});
         if (lead_ && lead_->core) {
             lead_->core->on_job(id, j.record, j.version, now_s());
+            if (auto n = lead_->cancels.find(id); n != lead_->cancels.end()) {
+                if (j.version >= n->second.revision)
+                    lead_->cancels.erase(n);
+                else
+                    lead_->core->on_cancel(n->second, now_s());
+            }
             lead_->wake.notify();
         }
     };
@@ -180,7 +199,9 @@
         std::optional<store::unit_outcome> how;
     };
     auto s = std::make_shared<shared>(io_);
-    u.result = [s](store::unit_outcome how, std::uint64_t) {
+    u.result = [s, noted = std::move(u.noted)](store::unit_outcome how, std::uint64_t revision) {
+        if (noted && how == store::unit_outcome::committed)
+            noted(revision);
         s->how = how;
         s->signal.notify();
     };
@@ -311,8 +332,6 @@
             co_return cut_off();
         if (!*s)
             co_return error(404, "no such job");
-        if ((*s)->stage == job_stage::cancelled)
-            member_.note_cancel();
         if ((*s)->stage == job_stage::done || (*s)->stage == job_stage::cancelled)
             co_return response{200, wire::encode_accepted(id, (*s)->stage), 0, false};
         auto *j = cache_.active(id);
@@ -325,9 +344,15 @@
         u.rank = store::urgency::cancel;
         u.when = {{active_key(id), j->version}};
         u.ops = {{active_key(id), wire::encode_job_record(record), 0}};
+        // Durable first, then known to whoever may renew leases, then told: also where the answer
+        // from the state service comes after the user has gone.
+        u.noted = [this, id, at = record.cancelled_at](std::uint64_t revision) {
+            cancel_notice n{id, revision, at};
+            member_.note_cancel(n);
+            obey_cancel(n);
+        };
         auto how = co_await commit(std::move(u), std::max(0.2, limit - now_s()));
         if (how == store::unit_outcome::committed) {
-            member_.note_cancel();
             co_return response{200, wire::encode_accepted(id, job_stage::cancelled), 0, false};
         }
         if (how != store::unit_outcome::conflict)
@@ -337,8 +362,19 @@
 }
 
 bool controller::may_renew(double now) const {
-    return membership::may_renew(now, member_.cancels_known_until(cache_.fresh_at()),
-                                 settings_.lease_s, settings_.cancel_s);
+    return membership::may_renew(now, member_.cancels_known_until(), settings_.lease_s,
+                                 settings_.cancel_s);
+}
+
+// Acted on without the state service; what the records will say of the same changes nothing more.
+void controller::obey_cancel(const cancel_notice &n) {
+    if (!lead_ || n.revision <= cache_.revision())
+        return;
+    lead_->cancels[n.job] = n;
+    if (lead_->core) {
+        lead_->core->on_cancel(n, now_s());
+        lead_->wake.notify();
+    }
 }
 
 awaitable<response> controller::on_checkin(std::string body) {
@@ -368,7 +404,12 @@
     l->wake.notify();
     if (age == engine::report_age::dead)
         co_return unsure("out of date");
-    auto orders = l->core->orders_in_answer(report.machine, now);
+    // Guards against ran_cancelled: where a cancel may have been confirmed that this node can't
+    // know of, only a machine that holds nothing is answered, and it gets nothing to start.
+    bool blind = !may_renew(now);
+    if (blind && !l->core->holds_nothing(report))
+        co_return elsewhere();
+    auto orders = l->core->orders_in_answer(report.machine, now, !blind);
     auto text = wire::encode_orders(member_.token(), orders);
     // Orders that do not fit a line wait for the next report.
     while (text.size() > c::line_limit - 1024 && orders.size() > 1) {
@@ -376,7 +417,7 @@
         text = wire::encode_orders(member_.token(), orders);
     }
     // Checked right before the answer: without entitlement it must not renew a lease.
-    if (!in_charge(l) || !may_renew(now_s()))
+    if (!in_charge(l) || (!blind && !may_renew(now_s())))
         co_return elsewhere();
     l->core->answered(report.machine, now_s());
     co_return response{200, text, 0, false};
@@ -539,6 +580,9 @@
                           wire::parse_rental_record(i.value), now);
     }
     core->loaded(now);
+    std::erase_if(l->cancels, [&](auto &n) { return n.second.revision <= cache_.revision(); });
+    for (auto &[id, n] : l->cancels)
+        core->on_cancel(n, now);
     l->commits.set_version(types_key, types_version);
     if (types_version == 0) {
         store::unit u;
@@ -623,6 +667,7 @@
         }
         if (now - cache_.fresh_at() > c::leader_fresh_s)
             cache_.want_read();
+        std::erase_if(l->cancels, [&](auto &n) { return n.second.revision <= cache_.revision(); });
         if (now > next_summary) {
             next_summary = now + c::summary_gap_s;
             std::erase_if(l->workers, [&](auto &w) {
@@ -751,7 +796,7 @@
         co_return;
     auto session = m->session;
     auto address = m->address;
-    auto orders = l->core->orders_in_command(machine, now_s());
+    auto orders = l->core->orders_in_command(machine, now_s(), may_renew(now_s()));
     if (orders.empty())
         co_return;
     bool starts = false;
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -48,6 +48,7 @@
     net::awaitable<net::reply> cloud_call(std::shared_ptr<leadership> l, std::string method,
                                           std::string target, std::string body);
     bool may_renew(double now) const;
+    void obey_cancel(const cancel_notice &n);
     bool in_charge(const std::shared_ptr<leadership> &l) const;
 
     net::asio::io_context &io_;
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -116,7 +116,7 @@
     if (kept.spec.shape == job_shape::array)
         typical_ = kept.spec;
     if (r.cancelled)
-        cancel_job(kept, r, now);
+        cancel_job(kept, r.cancelled_at, now);
 }
 
 void engine::load_done(const std::string &record, const std::vector<wire::done_part> &parts) {
@@ -216,15 +216,26 @@
         return;
     j->version = version;
     if (r.cancelled && !j->cancelled)
-        cancel_job(*j, r, now);
+        cancel_job(*j, r.cancelled_at, now);
 }
 
-void engine::cancel_job(job_t &j, const wire::job_record &r, double now) {
+void engine::on_cancel(const cancel_notice &n, double now) {
+    dirty_ = true;
+    auto *j = job_of(n.job);
+    if (!j || n.revision < j->version)
+        return;
+    j->version = n.revision;
+    if (!j->cancelled)
+        cancel_job(*j, n.at, now);
+}
+
+void engine::cancel_job(job_t &j, double wall_at, double now) {
     j.cancelled = true;
     // The user was told when the record was written, not when we hear of it.
     j.cancelled_at = now;
-    if (r.cancelled_at > 0)
-        j.cancelled_at = std::min(now, r.cancelled_at - wall_offset_ - settings_.time_bound_s);
+    if (wall_at > 0)
+        j.cancelled_at =
+            std::min(now, wall_at - wall_offset_ - 2 * settings_.time_bound_s); // two clocks
     while (!j.queued.empty())
         unqueue_task(j, j.queued.begin()->first);
     std::vector<std::uint32_t> indices;
@@ -657,7 +668,7 @@
 
 // --- orders ---
 
-std::vector<order> engine::orders(machine_t &m, bool in_answer, double now) {
+std::vector<order> engine::orders(machine_t &m, bool in_answer, double now, bool may_start) {
     std::vector<order> out;
     // A start that may still arrive must not follow a reap: it would start the attempt anew.
     bool forgetting = !m.tainted(now);
@@ -694,7 +705,7 @@
                     out.push_back({order_kind::stop, ref.job, ref.index, a.number, 0});
                 break;
             }
-            if (a.inherited || !m.usable() || j->over())
+            if (a.inherited || !m.usable() || j->over() || !may_start)
                 break;
             if (a.phase == attempt_phase::committed) {
                 if (!room.fits(j->spec))
@@ -730,17 +741,31 @@
     return out;
 }
 
-std::vector<order> engine::orders_in_answer(const std::string &machine, double now) {
+std::vector<order> engine::orders_in_answer(const std::string &machine, double now, bool starts) {
     auto i = machines_.find(machine);
-    return i == machines_.end() ? std::vector<order>() : orders(i->second, true, now);
+    return i == machines_.end() ? std::vector<order>() : orders(i->second, true, now, starts);
+}
+
+bool engine::holds_nothing(const worker_report &r) const {
+    if (!r.tasks.empty())
+        return false;
+    auto i = machines_.find(r.machine);
+    if (i == machines_.end())
+        return true;
+    for (auto &ref : i->second.attempts)
+        if (auto *j = find_job(ref.job))
+            if (auto a = j->live.find(ref.index); a != j->live.end() && a->second.present())
+                return false;
+    return true;
 }
 
-std::vector<order> engine::orders_in_command(const std::string &machine, double now) {
+std::vector<order> engine::orders_in_command(const std::string &machine, double now,
+                                             bool may_start) {
     auto i = machines_.find(machine);
     if (i == machines_.end() || !i->second.up || i->second.commands_open > 0)
         return {};
     auto &m = i->second;
-    auto out = orders(m, false, now);
+    auto out = orders(m, false, now, may_start);
     bool starts = false;
     for (auto &o : out)
         if (o.kind == order_kind::start) {
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -77,6 +77,8 @@
     // --- events ---
     void on_job(const std::string &id, const wire::job_record &r, std::uint64_t version,
                 double now);
+    // A cancel that is durable, told before the job's record comes.
+    void on_cancel(const cancel_notice &n, double now);
     void on_token(std::uint64_t token);
     // A report, from /checkin or in the answer to a direct command.
     enum class report_age {
@@ -87,11 +89,15 @@
     // reply: it came in the answer to a direct command, not as a report of its own.
     report_age on_report(const worker_report &r, double now, bool reply = false);
     // Orders to give in the answer to the newest report.
-    std::vector<order> orders_in_answer(const std::string &machine, double now);
+    // starts: whether tasks may be started now.
+    std::vector<order> orders_in_answer(const std::string &machine, double now, bool starts = true);
+    // Neither the report nor what is presumed there names a task.
+    bool holds_nothing(const worker_report &r) const;
     // The answer was given: the worker's lease may now last until then.
     void answered(const std::string &machine, double now);
     // Orders for a direct command; marks the machine until the command is resolved.
-    std::vector<order> orders_in_command(const std::string &machine, double now);
+    std::vector<order> orders_in_command(const std::string &machine, double now,
+                                         bool starts = true);
     void command_resolved(const std::string &machine);
     void command_unresolved(const std::string &machine, std::uint64_t token, std::uint64_t session);
     void on_types(std::vector<machine_type> types);
@@ -149,7 +155,7 @@
     void task_failed(machine_t &m, job_t &j, double now);
     void drop_attempt(job_t &j, std::uint32_t index, bool again);
     void stop_attempt(attempt_t &a, double grace_s, double now);
-    void cancel_job(job_t &j, const wire::job_record &r, double now);
+    void cancel_job(job_t &j, double wall_at, double now);
     // Work that saves may do so before it makes room; other work would only lose the time.
     static double grace_of(const job_spec &s) { return s.checkpoint_s > 0 ? s.save_s : 0; }
     void clear_machine(machine_t &m, bool gone, double now);
@@ -159,7 +165,7 @@
     void unqueue_task(job_t &j, std::uint32_t index);
     void check_hearing(machine_t &m, const worker_report &r, bool new_session, double now);
     void adopt(machine_t &m, job_t &j, const task_report &t, double now);
-    std::vector<order> orders(machine_t &m, bool in_answer, double now);
+    std::vector<order> orders(machine_t &m, bool in_answer, double now, bool may_start);
     void want_delete(machine_t &m, const char *why);
 
     void check_leases(double now);
--- /dev/null
+++ b/src/membership/cancel_exchange.hpp
@@ -0,0 +1,94 @@
+// Cancels travel between controllers by name, so that a leader that cannot read the state service
+// still obeys those which other controllers confirmed. Pure: no I/O, time comes in.
+//
+// Each controller keeps a log of the cancels that it knows to be durable: those it confirms itself,
+// entered after the state service took them and before the user is told, and those it learns from
+// the state service. The leader asks each other controller for what is new; an answer that leaves
+// nothing out makes all known that this controller can have told a user before the question was
+// sent.
+#pragma once
+#include "wire/types.hpp"
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace spindlecroft::membership {
+
+// What the leader asks another controller.
+struct cancel_question {
+    std::string incarnation;    // the run of the other controller that `after` belongs to
+    std::uint64_t after = 0;    // number of the last entry that arrived
+    std::uint64_t revision = 0; // the leader has read the state service up to this revision
+    bool operator==(const cancel_question &) const = default;
+};
+
+struct cancel_answer {
+    std::string incarnation;
+    std::uint64_t after = 0;  // as in the question; 0 if that was of another run
+    std::uint64_t upto = 0;   // all entries after `after` up to this one are here or not needed
+    std::uint64_t newest = 0; // number of the newest entry
+    bool loaded = false;      // since its start this controller has read all jobs' records
+    bool gap = false;         // entries after `after` were given up that the leader may not know
+    double read_age_s = 1e9;  // s; all that was durable so long ago is in the log
+    std::vector<cancel_notice> entries;
+};
+
+class cancel_log {
+  public:
+    // most: entries kept; per_answer: entries in one answer.
+    cancel_log(std::string incarnation, std::size_t most, std::size_t per_answer);
+    // A cancel that is durable. Knowing it already changes nothing.
+    void note(const cancel_notice &n);
+    cancel_answer answer(const cancel_question &q) const;
+    // Whoever leads has read the state service up to here: older entries are of no more use.
+    void forget_upto(std::uint64_t revision);
+    std::size_t size() const { return entries_.size(); }
+
+  private:
+    void drop_oldest();
+    struct entry {
+        std::uint64_t number = 0;
+        cancel_notice what;
+    };
+    std::string incarnation_;
+    std::size_t most_, per_answer_;
+    std::deque<entry> entries_;                            // by number, without holes
+    std::unordered_map<std::string, std::uint64_t> known_; // revision, of jobs in entries_
+    std::uint64_t newest_ = 0;
+    std::uint64_t dropped_revision_ = 0; // the largest of an entry that is no longer kept
+};
+
+// What the leader knows of another controller's cancels.
+class cancel_reader {
+  public:
+    cancel_question question(std::uint64_t revision) const {
+        return {incarnation_, after_, revision};
+    }
+    // Entries to act on. Throws wire::bad_message if the answer contradicts the question or itself:
+    // it then counts as not heard, and what was known stays.
+    std::vector<cancel_notice> take(const cancel_question &q, const cancel_answer &a,
+                                    double sent_at);
+    // No cancel that this controller told a user of before then is unknown.
+    double known_until() const { return known_until_; }
+    // Nor one that was durable before then, whoever told of it.
+    double durable_known_at() const { return durable_known_at_; }
+
+  private:
+    std::string incarnation_;
+    std::uint64_t after_ = 0;
+    double known_until_ = -1e9, durable_known_at_ = -1e9;
+};
+
+// The time up to which no controller can have told a user of a cancel that is not known here, when
+// all that was durable at fresh_at is known. readers: of all other controllers.
+double cancels_known_until(double now, double fresh_at,
+                           const std::vector<const cancel_reader *> &readers);
+
+// Whether a worker's lease may be renewed although cancels may have been accepted since
+// known_until: its tasks must be gone cancel_s after such a cancel, even if no word reaches the
+// worker any more.
+bool may_renew(double now, double known_until, double lease_s, double cancel_s);
+
+} // namespace spindlecroft::membership
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -13,13 +13,13 @@
 static constexpr const char *leader_key = "leader";
 
 member::member(net::asio::io_context &io, const settings::settings &s, store::state_client &state)
-    : io_(io), settings_(s), state_(state),
+    : io_(io), settings_(s), state_(state), random_(std::random_device()()),
+      incarnation_(fmt::format("{}#{:08x}", s.node, random_())),
       book_(now_s(), s.members.empty()
                          ? 0
                          : c::promise_s * (1 + 2 * c::clock_drift) + c::authority_margin_s),
-      authority_(s.node, s.members.size() + 1), random_(std::random_device()()),
-      last_cancel_(now_s()), wake_(io) {
-    incarnation_ = fmt::format("{}#{:08x}", s.node, random_());
+      authority_(s.node, s.members.size() + 1),
+      cancels_(incarnation_, c::cancels_kept, c::cancels_per_answer), wake_(io) {
     for (auto &m : s.members) {
         auto p = std::make_unique<peer_state>();
         p->name = m.name;
@@ -60,11 +60,11 @@
     wake_.notify();
 }
 
-double member::cancels_known_until(double fresh_at) const {
-    std::vector<cancel_news> others;
+double member::cancels_known_until() const {
+    std::vector<const cancel_reader *> readers;
     for (auto &p : peers_)
-        others.push_back(p->cancels);
-    return membership::cancels_known_until(now_s(), fresh_at, others);
+        readers.push_back(&p->cancels);
+    return membership::cancels_known_until(now_s(), records().fresh_at, readers);
 }
 
 bool member::state_served_elsewhere() const {
@@ -101,10 +101,16 @@
         if (!granted && m.text("role") == "leader" && !book_.in_blackout(now))
             spdlog::debug("no promise to {}: given to {}", as, book_.holder(now));
     }
-    out.numbers["state_ok"] = state_.silence(now) < 2.5;
+    // A leader without the state service asks whether others have it: they must know by the next
+    // question.
+    if (m.text("role") == "leader" && !m.number("state_ok") &&
+        now - records().fresh_at > c::leader_renew_s)
+        want_read();
+    out.numbers["state_ok"] = state_.serving(now);
     out.numbers["reports_age_ms"] =
         static_cast<std::uint64_t>(std::min(1e6, (now - last_report_) * 1000));
-    out.numbers["cancel_age_ms"] = static_cast<std::uint64_t>((now - last_cancel_) * 1000);
+    if (m.texts.count("cancels_run"))
+        answer_cancels(m, out, now);
     out.texts["holder"] = book_.holder(now);
     for (auto &p : peers_)
         if (p->name == from) {
@@ -125,8 +131,14 @@
                {"from", settings_.node},
                {"as", candidacy_},
                {"role", candidate ? "candidate" : "leader"}};
-    m.numbers["state_ok"] = state_.silence(now_s()) < 2.5;
+    m.numbers["state_ok"] = state_.serving(now_s());
     m.numbers["ms"] = static_cast<std::uint64_t>(length_s * 1000);
+    auto question = p.cancels.question(records().revision);
+    if (!candidate) {
+        m.texts["cancels_run"] = question.incarnation;
+        m.numbers["cancels_after"] = question.after;
+        m.numbers["cancels_revision"] = question.revision;
+    }
     double sent = now_s();
     auto r =
         co_await p.client->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s, true);
@@ -137,18 +149,59 @@
         auto a = wire::parse_peer(r.body);
         p.heard_at = now_s();
         p.state_ok = a.number("state_ok") != 0;
-        p.cancels = {sent, p.heard_at - static_cast<double>(a.number("cancel_age_ms")) / 1000.0};
         p.reports_age = a.number("reports_age_ms", 1000000) / 1000.0;
         // A promise to an earlier candidacy doesn't count, and none revives a leader that lapsed.
         if (a.number("granted") && candidacy == candidacy_ &&
             (candidate || authority_.valid(now_s())))
             authority_.promised(p.name, sent, length_s);
         wake_.notify();
+        if (!candidate)
+            take_cancels(p, question, a, sent);
+        p.complaint.clear();
     } catch (const wire::bad_message &e) {
-        spdlog::warn("{}: {}", p.name, e.what());
+        if (p.complaint != e.what()) // once, not each round
+            spdlog::warn("{}: {}: counts as not heard", p.name, e.what());
+        p.complaint = e.what();
     }
 }
 
+void member::answer_cancels(const wire::peer_message &question, wire::peer_message &out,
+                            double now) {
+    auto view = records();
+    cancel_question q{question.text("cancels_run"), question.number("cancels_after"),
+                      question.number("cancels_revision")};
+    cancels_.forget_upto(q.revision);
+    auto a = cancels_.answer(q);
+    out.texts["cancels_run"] = a.incarnation;
+    out.numbers["cancels_after"] = a.after;
+    out.numbers["cancels_upto"] = a.upto;
+    out.numbers["cancels_newest"] = a.newest;
+    out.numbers["cancels_gap"] = a.gap;
+    out.numbers["loaded"] = view.loaded;
+    out.numbers["read_age_ms"] =
+        static_cast<std::uint64_t>(std::min(1e9, (now - view.fresh_at) * 1000) + 1);
+    out.cancels = std::move(a.entries);
+}
+
+void member::take_cancels(peer_state &p, const cancel_question &q, const wire::peer_message &m,
+                          double sent) {
+    cancel_answer a;
+    a.incarnation = m.text("cancels_run");
+    a.after = m.number("cancels_after");
+    a.upto = m.number("cancels_upto");
+    a.newest = m.number("cancels_newest");
+    a.gap = m.number("cancels_gap", 1) != 0;
+    a.loaded = m.number("loaded") != 0;
+    a.read_age_s = static_cast<double>(m.number("read_age_ms", 1000000000)) / 1000.0;
+    a.entries = m.cancels;
+    auto news = p.cancels.take(q, a, sent);
+    // They stay known here too: this controller may be asked by the next leader.
+    for (auto &n : news)
+        cancels_.note(n);
+    if (!news.empty() && leader_ && on_cancels)
+        on_cancels(news);
+}
+
 awaitable<void> member::release_all() {
     // Only this candidacy is released: the message may arrive late, when there is a newer one.
     book_.release(candidacy_);
@@ -334,11 +387,13 @@
 
 // A leader cut from the state service or the workers gives way to a controller that is not.
 bool member::better_elsewhere(double now) {
+    // Guards against an outage without a leader: only a controller that the state service answers
+    // can be chosen, and its word must be fresh, for the service may by now be gone for all.
     double blind = state_.silence(now), deaf = now - last_report_;
     for (auto &p : peers_) {
-        if (p->heard_at < 0 || now - p->heard_at > 2 * c::leader_renew_s + c::peer_timeout_s)
+        if (p->heard_at < 0 || now - p->heard_at > c::fresh_word_s || !p->state_ok)
             continue;
-        if (blind > c::resign_blind_s && p->state_ok)
+        if (blind > c::resign_blind_s)
             return true;
         if (last_report_ > 0 && deaf > c::resign_deaf_s && p->reports_age < 3.0)
             return true;
@@ -362,11 +417,11 @@
                 authority_.promised(settings_.node, now, c::promise_s);
             for (auto &p : peers_)
                 net::spawn(io_, ask(*p, c::promise_s, false), "ask " + p->name);
-            if (better_elsewhere(now)) {
-                no_stand_until_ = now + c::resign_pause_s;
-                resign("another controller is better placed");
-                break;
-            }
+        }
+        if (better_elsewhere(now)) {
+            no_stand_until_ = now + c::resign_pause_s;
+            resign("another controller is better placed");
+            break;
         }
         if (raise_wanted_ && !raising_) {
             raise_wanted_ = false;
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -1,5 +1,6 @@
 // This controller's part in choosing a leader: promises, the leader key, and standing for it.
 #pragma once
+#include "membership/cancel_exchange.hpp"
 #include "membership/promises.hpp"
 #include "net/http.hpp"
 #include "settings/settings.hpp"
@@ -32,13 +33,22 @@
     bool state_served_elsewhere() const;
     // No other controller was heard from for so long, though there are others.
     bool alone_for(double s) const;
-    // A user was told that a job is cancelled.
-    void note_cancel() { last_cancel_ = net::now_s(); }
-    // The time up to which no controller can have told a user of a cancel that is not known here,
-    // when all that was durable at fresh_at is known.
-    double cancels_known_until(double fresh_at) const;
+    // A cancel is durable; noted before any user is told.
+    void note_cancel(const cancel_notice &n) { cancels_.note(n); }
+    // The time up to which no controller can have told a user of a cancel that is not known here.
+    double cancels_known_until() const;
     void note_report() { last_report_ = net::now_s(); }
 
+    // What this controller has read of the jobs' records.
+    struct records_view {
+        bool loaded = false;
+        std::uint64_t revision = 0;
+        double fresh_at = -1e9; // s; all that was durable then is known
+    };
+    std::function<records_view()> records;
+    std::function<void()> want_read;
+    // Cancels that another controller told of, while this one leads.
+    std::function<void(const std::vector<cancel_notice> &)> on_cancels;
     std::function<void()> on_elected; // the token is set
     std::function<void()> on_deposed;
     std::function<void(std::uint64_t)> on_token;
@@ -52,8 +62,9 @@
         bool state_ok = false;
         double reports_age = 1e9;
         double heard_at = -1;
-        cancel_news cancels;
+        cancel_reader cancels;
         bool busy = false;
+        std::string complaint; // the last one that was logged
     };
     net::awaitable<void> follow();
     net::awaitable<void> stand();
@@ -63,17 +74,20 @@
     net::awaitable<void> renew_lease();
     net::awaitable<void> raise();
     bool better_elsewhere(double now);
+    void answer_cancels(const wire::peer_message &question, wire::peer_message &out, double now);
+    void take_cancels(peer_state &p, const cancel_question &q, const wire::peer_message &answer,
+                      double sent);
 
     net::asio::io_context &io_;
     const settings::settings &settings_;
     store::state_client &state_;
+    boost::random::mt19937 random_;
     std::string incarnation_; // this run of this controller
     std::string candidacy_;   // this candidacy of this run, and the leadership that follows
     std::uint64_t stands_ = 0;
     promise_book book_;
     authority authority_;
     std::vector<std::unique_ptr<peer_state>> peers_;
-    boost::random::mt19937 random_;
     bool leader_ = false, stopping_ = false, resigned_ = false, raise_wanted_ = false;
     bool renewing_ = false, raising_ = false;
     std::uint64_t token_ = 0, lease_ = 0, raises_ = 0;
@@ -82,7 +96,7 @@
     double hint_at_ = -1e9;
     double no_stand_until_ = 0;
     double last_report_ = -1e9;
-    double last_cancel_; // what was told before this run is not remembered
+    cancel_log cancels_;
     net::signal wake_;
 };
 
--- a/src/membership/promises.cpp
+++ b/src/membership/promises.cpp
@@ -66,25 +66,8 @@
     return std::max({lease_until_, by_majority, now - 1});
 }
 
-// Guards against ran_cancelled in a cut: a leader that cannot read the state service would keep
-// renewing the leases of tasks whose cancel another controller has accepted. In an outage nobody
-// can accept a cancel, the others say so, and running work goes on.
-double cancels_known_until(double now, double fresh_at, const std::vector<cancel_news> &others) {
-    double until = now;
-    for (auto &o : others) {
-        bool none_since = o.last_cancel_at < fresh_at - c::authority_margin_s;
-        until = std::min(until, none_since ? o.asked_at : fresh_at);
-    }
-    return std::max(until, fresh_at);
-}
-
 bool better_served_elsewhere(double state_silence_s, bool state_served_elsewhere, bool alone) {
     return state_silence_s > c::isolated_s && (state_served_elsewhere || alone);
 }
 
-bool may_renew(double now, double known_until, double lease_s, double cancel_s) {
-    double blind = cancel_s - lease_s * (1 + c::clock_drift) - c::blind_margin_s;
-    return now - known_until < std::max(blind, c::blind_least_s);
-}
-
 } // namespace spindlecroft::membership
--- a/src/membership/promises.hpp
+++ b/src/membership/promises.hpp
@@ -52,23 +52,8 @@
     double lease_until_ = -1;
 };
 
-// What another controller said of the cancels that it told users of.
-struct cancel_news {
-    double asked_at = -1e9;      // s; when its answer was asked for
-    double last_cancel_at = 1e9; // s; it told of none after this and before it answered
-};
-
-// The time up to which no controller can have told a user of a cancel that is not known here, when
-// all that was durable at fresh_at is known.
-double cancels_known_until(double now, double fresh_at, const std::vector<cancel_news> &others);
-
 // Whether a node should send users elsewhere: it is without the state service while another has it,
 // or hears nobody at all and so can't tell. In an outage for all, everybody stays.
 bool better_served_elsewhere(double state_silence_s, bool state_served_elsewhere, bool alone);
 
-// Whether a worker's lease may be renewed although cancels may have been accepted since
-// known_until: its tasks must be gone cancel_s after such a cancel, even if no word reaches the
-// worker any more.
-bool may_renew(double now, double known_until, double lease_s, double cancel_s);
-
 } // namespace spindlecroft::membership
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -17,6 +17,7 @@
     urgency rank = urgency::rest;
     bool owned = false; // keys without a condition are ours alone; their versions are known here
     std::function<void(unit_outcome, std::uint64_t revision)> result;
+    std::function<void(std::uint64_t revision)> noted; // once it is durable, before `result`
 };
 
 // Chooses which waiting units share the next transaction. Pure.
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -96,13 +96,22 @@
             requests_.drain();
             if (writes > 0)
                 writes_.drain();
-        } else if (r.status != 503) {
+        } else if (r.status == 503) {
+            failed_since_ok_ = true;
+        } else {
             last_ok_ = net::now_s();
+            failed_since_ok_ = false;
         }
+    } else {
+        failed_since_ok_ = true;
     }
     co_return r;
 }
 
+bool state_client::serving(double now) const {
+    return !failed_since_ok_ && silence(now) < c::served_s;
+}
+
 awaitable<std::optional<state_client::item>> state_client::get(std::string key, urgency u) {
     auto r = co_await call("GET", "/kv/" + key, "", c::state_timeout_s, u);
     item i;
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -72,6 +72,8 @@
 
     // Seconds since the service last answered properly.
     double silence(double now) const { return now - last_ok_; }
+    // Whether it serves this node as far as known: it answered of late, and nothing failed since.
+    bool serving(double now) const;
     void leading(bool yes); // the leader may use more of the budget
     std::uint64_t requests = 0, writes = 0;
 
@@ -84,6 +86,7 @@
     budget requests_, writes_;
     write_line line_;
     double last_ok_;
+    bool failed_since_ok_ = false; // refused or without an answer
 };
 
 } // namespace spindlecroft::store
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -746,13 +746,26 @@
 }
 
 std::string encode_peer(const peer_message &m) {
-    cbor_item_t *map = cbor_new_definite_map(m.numbers.size() + m.texts.size());
+    auto text = [](const std::string &s) {
+        return cbor_move(cbor_build_stringn(s.data(), s.size()));
+    };
+    auto number = [](std::uint64_t n) { return cbor_move(cbor_build_uint64(n)); };
+    cbor_item_t *map = cbor_new_definite_map(m.numbers.size() + m.texts.size() + 2);
+    (void)cbor_map_add(map, {text("version"), number(peer_version)});
+    cbor_item_t *cancels = cbor_new_definite_array(m.cancels.size());
+    for (auto &c : m.cancels) {
+        cbor_item_t *entry = cbor_new_definite_array(3);
+        (void)cbor_array_push(entry, text(c.job));
+        (void)cbor_array_push(entry, number(c.revision));
+        (void)cbor_array_push(entry,
+                              number(static_cast<std::uint64_t>(std::max(0.0, c.at) * 1000))); // ms
+        (void)cbor_array_push(cancels, cbor_move(entry));
+    }
+    (void)cbor_map_add(map, {text("cancels"), cbor_move(cancels)});
     for (auto &[k, v] : m.numbers)
-        (void)cbor_map_add(map, {cbor_move(cbor_build_stringn(k.data(), k.size())),
-                                 cbor_move(cbor_build_uint64(v))});
+        (void)cbor_map_add(map, {text(k), number(v)});
     for (auto &[k, v] : m.texts)
-        (void)cbor_map_add(map, {cbor_move(cbor_build_stringn(k.data(), k.size())),
-                                 cbor_move(cbor_build_stringn(v.data(), v.size()))});
+        (void)cbor_map_add(map, {text(k), text(v)});
     unsigned char *buffer = nullptr;
     std::size_t size = 0;
     std::size_t length = cbor_serialize_alloc(map, &buffer, &size);
@@ -771,20 +784,41 @@
         item, [](cbor_item_t *i) { cbor_decref(&i); });
     if (!cbor_isa_map(item))
         throw bad_message("peer: not a map");
+    auto is_text = [](cbor_item_t *i) { return cbor_isa_string(i) && cbor_string_is_definite(i); };
+    auto text = [](cbor_item_t *i) {
+        return std::string(reinterpret_cast<char *>(cbor_string_handle(i)), cbor_string_length(i));
+    };
     peer_message m;
     auto *pairs = cbor_map_handle(item);
     for (std::size_t i = 0; i < cbor_map_size(item); ++i) {
         auto *k = pairs[i].key;
         auto *v = pairs[i].value;
-        if (!cbor_isa_string(k) || !cbor_string_is_definite(k))
+        if (!is_text(k))
             throw bad_message("peer: keys must be texts");
-        std::string key(reinterpret_cast<char *>(cbor_string_handle(k)), cbor_string_length(k));
-        if (cbor_isa_uint(v))
+        auto key = text(k);
+        if (cbor_isa_uint(v)) {
             m.numbers[key] = cbor_get_int(v);
-        else if (cbor_isa_string(v) && cbor_string_is_definite(v))
-            m.texts[key] =
-                std::string(reinterpret_cast<char *>(cbor_string_handle(v)), cbor_string_length(v));
+        } else if (is_text(v)) {
+            m.texts[key] = text(v);
+        } else if (key == "cancels") {
+            if (!cbor_isa_array(v))
+                throw bad_message("peer: cancels: must be a list");
+            for (std::size_t n = 0; n < cbor_array_size(v); ++n) {
+                auto *e = cbor_array_handle(v)[n];
+                if (!cbor_isa_array(e) || cbor_array_size(e) != 3)
+                    throw bad_message("peer: cancels: an entry is a job, a revision and a time");
+                auto **f = cbor_array_handle(e);
+                if (!is_text(f[0]) || !cbor_isa_uint(f[1]) || !cbor_isa_uint(f[2]))
+                    throw bad_message("peer: cancels: an entry is a job, a revision and a time");
+                m.cancels.push_back({text(f[0]), cbor_get_int(f[1]),
+                                     static_cast<double>(cbor_get_int(f[2])) / 1000.0});
+            }
+        }
     }
+    if (m.number("version") != peer_version)
+        throw bad_message("peer: version: " + std::to_string(m.number("version")) + ", not " +
+                          std::to_string(peer_version));
+    m.numbers.erase("version");
     return m;
 }
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -133,10 +133,13 @@
 std::string encode_rental_record(const rental_record &r);
 rental_record parse_rental_record(const std::string &value);
 
-// --- between our own processes: CBOR maps of text to integers and texts ---
+// --- between our own processes: CBOR maps of text to integers, texts and lists of cancels ---
+// Of another version counts as not heard.
+inline constexpr std::uint64_t peer_version = 2;
 struct peer_message {
     std::map<std::string, std::uint64_t> numbers;
     std::map<std::string, std::string> texts;
+    std::vector<cancel_notice> cancels;
     std::uint64_t number(const std::string &key, std::uint64_t fallback = 0) const;
     std::string text(const std::string &key) const;
 };
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -85,6 +85,14 @@
     std::uint32_t done = 0, running = 0;
 };
 
+// A cancel that is durable at the state service.
+struct cancel_notice {
+    std::string job;
+    std::uint64_t revision = 0; // of the job's record that says so
+    double at = 0;              // s, time of day; not after the user was told
+    bool operator==(const cancel_notice &) const = default;
+};
+
 struct txn_condition {
     std::string key;
     std::uint64_t version = 0;
--- /dev/null
+++ b/tests/cancels_test.cpp
@@ -0,0 +1,470 @@
+// Cancels that travel between controllers: the exchange alone, and in a seeded world in which the
+// state service refuses the leader or everybody while users cancel.
+#include "constants.hpp"
+#include "membership/cancel_exchange.hpp"
+#include "wire/codec.hpp"
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <fmt/format.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace spindlecroft;
+using membership::cancel_log;
+using membership::cancel_reader;
+
+namespace {
+
+std::vector<std::string> names(const std::vector<cancel_notice> &list) {
+    std::vector<std::string> out;
+    for (auto &n : list)
+        out.push_back(n.job);
+    return out;
+}
+
+using list = std::vector<std::string>;
+
+// One question and its answer.
+struct exchange {
+    cancel_log log{"a#1", 100, 2};
+    cancel_reader reader;
+    bool loaded = true;
+    list ask(double now, std::uint64_t revision = 0) {
+        auto q = reader.question(revision);
+        auto a = log.answer(q);
+        a.loaded = loaded;
+        return names(reader.take(q, a, now));
+    }
+};
+
+} // namespace
+
+TEST(cancels, come_by_name_and_once) {
+    exchange x;
+    x.log.note({"job-1", 5, 0});
+    x.log.note({"job-1", 5, 0}); // learned from the state service too
+    x.log.note({"job-2", 4, 0});
+    EXPECT_EQ(x.ask(10), (list{"job-1", "job-2"}));
+    EXPECT_DOUBLE_EQ(x.reader.known_until(), 10);
+    EXPECT_EQ(x.ask(11), list{});
+    EXPECT_DOUBLE_EQ(x.reader.known_until(), 11);
+}
+
+TEST(cancels, more_than_an_answer_holds_leave_the_time_unknown) {
+    exchange x;
+    for (int i = 1; i <= 5; ++i)
+        x.log.note({"job-" + std::to_string(i), static_cast<std::uint64_t>(i), 0});
+    EXPECT_EQ(x.ask(10), (list{"job-1", "job-2"}));
+    EXPECT_LT(x.reader.known_until(), 0);
+    EXPECT_EQ(x.ask(11), (list{"job-3", "job-4"}));
+    EXPECT_EQ(x.ask(12), list{"job-5"});
+    EXPECT_DOUBLE_EQ(x.reader.known_until(), 12);
+}
+
+TEST(cancels, a_lost_answer_is_asked_for_again) {
+    exchange x;
+    x.log.note({"job-1", 5, 0});
+    (void)x.log.answer(x.reader.question(0)); // never arrives
+    EXPECT_EQ(x.ask(11), list{"job-1"});
+}
+
+TEST(cancels, what_the_reader_has_read_is_left_out_and_forgotten) {
+    exchange x;
+    x.log.note({"job-1", 5, 0});
+    x.log.note({"job-2", 9, 0});
+    x.log.forget_upto(5);
+    EXPECT_EQ(x.log.size(), 1u);
+    EXPECT_EQ(x.ask(10, 5), list{"job-2"});
+    EXPECT_DOUBLE_EQ(x.reader.known_until(), 10);
+    // A reader that is further behind can't rely on this log until it has read as far.
+    cancel_reader behind;
+    auto q = behind.question(4);
+    auto a = x.log.answer(q);
+    a.loaded = true;
+    EXPECT_TRUE(a.gap);
+    behind.take(q, a, 10);
+    EXPECT_LT(behind.known_until(), 0);
+}
+
+TEST(cancels, an_overfull_log_says_so) {
+    exchange x;
+    x.log = cancel_log("a#1", 3, 10);
+    for (int i = 1; i <= 5; ++i)
+        x.log.note({"job-" + std::to_string(i), static_cast<std::uint64_t>(i), 0});
+    EXPECT_EQ(x.ask(10), (list{"job-3", "job-4", "job-5"}));
+    EXPECT_LT(x.reader.known_until(), 0);
+    EXPECT_EQ(x.ask(11), list{}); // contiguous from there on: only the read tells of the rest
+    EXPECT_EQ(x.log.size(), 3u);
+}
+
+TEST(cancels, a_restarted_controller_speaks_for_nobody_until_it_has_read) {
+    exchange x;
+    x.ask(10);
+    // It confirmed job-7 and was restarted; the new run knows nothing of it.
+    x.log = cancel_log("a#2", 100, 2);
+    x.loaded = false;
+    EXPECT_EQ(x.ask(20), list{});
+    EXPECT_DOUBLE_EQ(x.reader.known_until(), 10);
+    x.log.note({"job-7", 8, 0}); // as read from the state service
+    x.loaded = true;
+    EXPECT_EQ(x.ask(21), list{"job-7"});
+    EXPECT_DOUBLE_EQ(x.reader.known_until(), 21);
+}
+
+TEST(cancels, contradictions_count_as_not_heard) {
+    exchange x;
+    x.log.note({"job-1", 5, 0});
+    x.ask(10);
+    auto q = x.reader.question(0);
+    for (auto spoil : {+[](membership::cancel_answer &a) { a.after = 0; },
+                       +[](membership::cancel_answer &a) { a.upto = 0; },
+                       +[](membership::cancel_answer &a) { a.newest = 0; },
+                       +[](membership::cancel_answer &a) { a.incarnation.clear(); }}) {
+        auto reader = x.reader;
+        auto a = x.log.answer(q);
+        a.loaded = true;
+        spoil(a);
+        EXPECT_THROW(reader.take(q, a, 20), wire::bad_message);
+        EXPECT_DOUBLE_EQ(reader.known_until(), 10);
+        // The next question begins anew and is answered in full.
+        auto again = reader.question(0);
+        auto whole = x.log.answer(again);
+        whole.loaded = true;
+        EXPECT_EQ(names(reader.take(again, whole, 21)), list{"job-1"});
+        EXPECT_DOUBLE_EQ(reader.known_until(), 21);
+    }
+    // An answer to a question that was asked before the last one arrived.
+    auto late = x.log.answer({});
+    EXPECT_THROW(x.reader.take({}, late, 30), wire::bad_message);
+}
+
+TEST(cancels, survive_the_wire_and_another_version_is_refused) {
+    wire::peer_message m;
+    m.cancels = {{"job-1", ~0ull, 1764640000.25}, {std::string(100, 'x'), 0, 0}};
+    auto text = wire::encode_peer(m);
+    EXPECT_EQ(wire::parse_peer(text).cancels, m.cancels);
+    auto other = text;
+    other[other.find("version") + 7] = 3;
+    EXPECT_THROW(wire::parse_peer(other), wire::bad_message);
+    // What is cut short or bent anywhere is read or refused, never worse.
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        EXPECT_THROW(wire::parse_peer(text.substr(0, i)), wire::bad_message);
+        for (char bent : {'\x00', '\x7f', '\x83', '\xff'}) {
+            auto t = text;
+            t[i] = bent;
+            try {
+                wire::parse_peer(t);
+            } catch (const wire::bad_message &) {
+            }
+        }
+    }
+    // The largest answer fits a message.
+    wire::peer_message full;
+    for (std::size_t i = 0; i < constants::cancels_per_answer; ++i)
+        full.cancels.push_back({std::string(100, 'x'), ~0ull, 1e12});
+    EXPECT_LT(wire::encode_peer(full).size(), constants::body_limit - 1024);
+}
+
+namespace {
+
+// A reader that was last answered at `heard` and told of no cancel.
+cancel_reader heard_at(double heard, double read_age = 1e9) {
+    exchange x;
+    auto q = x.reader.question(0);
+    auto a = x.log.answer(q);
+    a.loaded = true;
+    a.read_age_s = read_age;
+    x.reader.take(q, a, heard);
+    return x.reader;
+}
+
+double known(double now, double fresh, const std::vector<cancel_reader> &readers) {
+    std::vector<const cancel_reader *> all;
+    for (auto &r : readers)
+        all.push_back(&r);
+    return membership::cancels_known_until(now, fresh, all);
+}
+
+} // namespace
+
+TEST(cancels, a_blind_leader_lets_leases_end_in_time) {
+    double lease = 14, cancel = 39, fresh = 100;
+    // Neither peer answers any more: a cancel may have been accepted right after the last read.
+    std::vector<cancel_reader> silent = {heard_at(99), heard_at(99)};
+    double last_renewal = 0;
+    for (double now = fresh; now < fresh + 100; now += 0.1)
+        if (membership::may_renew(now, known(now, fresh, silent), lease, cancel))
+            last_renewal = now;
+    EXPECT_GT(last_renewal, fresh + 10) << "a short outage must not kill running work";
+    EXPECT_LT(last_renewal + lease * 1.0005, fresh + cancel - 1);
+    // In an outage all peers answer, and none has told of a cancel since: work goes on.
+    for (double now = fresh; now < fresh + 300; now += 1) {
+        std::vector<cancel_reader> quiet = {heard_at(now - 1), heard_at(now - 1)};
+        EXPECT_TRUE(membership::may_renew(now, known(now, fresh, quiet), lease, cancel));
+    }
+    // One peer can't be heard since: only the read counts.
+    EXPECT_DOUBLE_EQ(known(130, fresh, {heard_at(129), heard_at(99)}), fresh);
+    // Another has read the state service since, and told all that it held: that counts as well.
+    EXPECT_NEAR(known(130, fresh, {heard_at(129, 4), heard_at(99)}), 125, 0.2);
+}
+
+namespace {
+
+// A leader, other controllers, workers and the state service, by the pages that describe them. The
+// leader leads throughout (who leads is tested elsewhere); it may lose the state service, single
+// controllers and its workers.
+struct cancel_world {
+    static constexpr double lease_s = 26.5, cancel_s = 51.5, report_s = 5.0, step_s = 0.05;
+
+    struct job {
+        double told_at = -1; // s; when its user was told of the cancel
+        std::uint64_t revision = 0;
+        bool known = false; // to the leader
+        double known_at = 0, lease_from = 0, next_report = 0;
+        bool there = true, killed = false;
+        double killed_at = 0;
+    };
+    struct node {
+        std::unique_ptr<cancel_log> log;
+        int run = 0;
+        bool up = true, loaded = false, cut = false;
+        double back_at = 0, fresh_at = -1e9, next_read = 0;
+        std::uint64_t revision = 0;
+        cancel_reader reader; // the leader's, of this one
+        double busy_until = 0, next_ask = 0;
+    };
+    struct event {
+        double at;
+        std::function<void()> what;
+    };
+
+    boost::random::mt19937 random;
+    std::vector<node> nodes{5}; // the first leads
+    std::map<std::string, job> jobs;
+    std::multimap<double, std::function<void()>> events;
+    std::uint64_t revision = 10;
+    double now = 100, outage_until = 0, refused_until = 0, mute_until = 0, cloud_down_until = 0;
+    std::vector<std::string> broken;
+    int cancelled = 0, by_name = 0;
+
+    explicit cancel_world(unsigned seed) : random(seed) {
+        for (auto &n : nodes)
+            start(n);
+        for (int i = 0; i < 60; ++i)
+            jobs[fmt::format("job-{:03}", i)].lease_from = now;
+    }
+
+    double real(double a, double b) {
+        return boost::random::uniform_real_distribution<double>(a, b)(random);
+    }
+    int integer(int a, int b) { return boost::random::uniform_int_distribution<int>(a, b)(random); }
+    void at(double t, std::function<void()> f) { events.emplace(t, std::move(f)); }
+    bool served(std::size_t i) const {
+        return now >= outage_until && (i != 0 || now >= refused_until);
+    }
+
+    void start(node &n) {
+        auto i = static_cast<std::size_t>(&n - nodes.data());
+        n.log = std::make_unique<cancel_log>(fmt::format("{}#{}", i, ++n.run), 40, 8);
+        n.up = true;
+        n.loaded = false;
+        n.fresh_at = -1e9;
+        n.revision = 0;
+    }
+
+    // A read of all records: what is durable now is known.
+    void read(std::size_t i) {
+        auto &n = nodes[i];
+        n.next_read = now + real(0.1, 2.0);
+        if (!served(i))
+            return;
+        for (auto &[id, j] : jobs)
+            if (j.revision > n.revision) {
+                n.log->note({id, j.revision, 0});
+                if (i == 0)
+                    learn(id);
+            }
+        n.revision = revision;
+        n.fresh_at = now;
+        n.loaded = true;
+    }
+
+    void learn(const std::string &id) {
+        auto &j = jobs.at(id);
+        if (!j.known)
+            j.known_at = now;
+        j.known = true;
+    }
+
+    // A user cancels at a controller: durable, noted, told.
+    void cancel(std::size_t i) {
+        if (!served(i) || !nodes[i].up || !nodes[i].loaded)
+            return;
+        auto id = fmt::format("job-{:03}", integer(0, 59));
+        auto &j = jobs.at(id);
+        if (j.revision)
+            return;
+        j.revision = ++revision;
+        auto run = nodes[i].run;
+        at(now + real(0.01, 0.8), [this, i, id, run] {
+            if (!nodes[i].up || nodes[i].run != run)
+                return; // its user was told nothing
+            nodes[i].log->note({id, jobs.at(id).revision, 0});
+            if (i == 0)
+                learn(id);
+            at(now + 0.001, [this, id] { jobs.at(id).told_at = now; });
+            ++cancelled;
+        });
+    }
+
+    void ask(std::size_t i) {
+        auto &n = nodes[i];
+        n.next_ask = now + constants::leader_renew_s;
+        if (now < n.busy_until)
+            return;
+        n.busy_until = now + constants::peer_timeout_s;
+        if (!n.up || n.cut || real(0, 1) < 0.03)
+            return;
+        auto q = n.reader.question(nodes[0].revision);
+        double sent = now, age_of_answer = real(0.01, 0.3);
+        at(now + real(0.01, 0.25), [this, i, q, sent, age_of_answer] {
+            auto &n = nodes[i];
+            if (!n.up || n.cut)
+                return;
+            n.log->forget_upto(q.revision);
+            auto a = n.log->answer(q);
+            a.loaded = n.loaded;
+            a.read_age_s = now - n.fresh_at;
+            if (real(0, 1) < 0.03)
+                return; // the answer is lost
+            at(now + age_of_answer, [this, i, q, a, sent] {
+                auto &n = nodes[i];
+                n.busy_until = 0;
+                for (auto &e : n.reader.take(q, a, sent)) {
+                    if (!jobs.at(e.job).known)
+                        ++by_name;
+                    learn(e.job);
+                    nodes[0].log->note(e);
+                }
+            });
+        });
+    }
+
+    double known_until() const {
+        std::vector<const cancel_reader *> readers;
+        for (std::size_t i = 1; i < nodes.size(); ++i)
+            readers.push_back(&nodes[i].reader);
+        return membership::cancels_known_until(now, nodes[0].fresh_at, readers);
+    }
+
+    void work(const std::string &id, job &j) {
+        if (!j.there)
+            return;
+        if (now - j.lease_from > lease_s) {
+            j.there = false;
+            return;
+        }
+        if (now >= j.next_report) {
+            j.next_report = now + real(0.75, 1.25) * report_s;
+            if (now >= mute_until && membership::may_renew(now, known_until(), lease_s, cancel_s)) {
+                j.lease_from = now;
+                if (j.known) {
+                    j.there = false;
+                    j.killed = true;
+                }
+            }
+        }
+        // Deleted where the kill can't be shown to have come.
+        if (j.known && now - j.known_at > constants::cancel_delete_share * cancel_s &&
+            now >= cloud_down_until)
+            j.there = false, j.killed = true;
+        if (j.told_at >= 0 && j.there && now > j.told_at + cancel_s)
+            broken.push_back(fmt::format("{:.1f}: {} still there, told at {:.1f}, {}", now, id,
+                                         j.told_at, j.known ? "known" : "unknown"));
+    }
+
+    void run(double until) {
+        for (; now < until && broken.empty(); now += step_s) {
+            while (!events.empty() && events.begin()->first <= now) {
+                auto f = std::move(events.begin()->second);
+                events.erase(events.begin());
+                f();
+            }
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                auto &n = nodes[i];
+                if (!n.up && now >= n.back_at)
+                    start(n);
+                if (n.up && now >= n.next_read)
+                    read(i);
+                if (i > 0 && now >= n.next_ask)
+                    ask(i);
+            }
+            for (auto &[id, j] : jobs)
+                work(id, j);
+        }
+    }
+
+    void crash(std::size_t i, double for_s) {
+        nodes[i].up = false;
+        nodes[i].back_at = now + for_s;
+    }
+};
+
+class cancel_worlds : public testing::TestWithParam<unsigned> {};
+
+} // namespace
+
+// The gap: the state service refuses the leader alone, others confirm cancels, then it is gone for
+// all and for longer than cancel_s. Cancelled tasks go in time, and nothing else does.
+TEST_P(cancel_worlds, the_gap_costs_only_what_was_cancelled) {
+    cancel_world w(GetParam());
+    w.run(110);
+    w.refused_until = 124;
+    w.at(w.now + 2.0, [&] { w.outage_until = w.now + 63.5; });
+    for (int k = 0; k < 12; ++k)
+        w.at(w.now + w.real(0, 2.2), [&] { w.cancel(static_cast<std::size_t>(w.integer(1, 4))); });
+    w.run(250);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_GT(w.by_name, 0) << "no cancel had to travel between controllers";
+    for (auto &[id, j] : w.jobs)
+        EXPECT_TRUE(j.there || j.killed) << id << " was lost, though nobody cancelled it";
+}
+
+// Anything at any time: refusals, outages, restarts, cuts, lost messages, workers out of reach.
+TEST_P(cancel_worlds, no_cancelled_task_outlives_its_time) {
+    cancel_world w(GetParam() + 1000);
+    for (double t = 101; t < 400; t += w.real(1, 12))
+        w.at(t, [&] {
+            auto other = static_cast<std::size_t>(w.integer(1, 4));
+            switch (w.integer(0, 6)) {
+            case 0:
+                w.refused_until = w.now + w.real(1, 40);
+                break;
+            case 1:
+                w.outage_until = w.now + w.real(1, 90);
+                break;
+            case 2:
+                w.crash(other, w.real(0.1, 8));
+                break;
+            case 3:
+                w.nodes[other].cut = true;
+                w.at(w.now + w.real(1, 60), [&w, other] { w.nodes[other].cut = false; });
+                break;
+            case 4:
+                w.mute_until = w.now + w.real(1, 40);
+                break;
+            default:
+                for (int k = 0; k < 4; ++k)
+                    w.cancel(static_cast<std::size_t>(w.integer(0, 4)));
+            }
+        });
+    w.run(480);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_GT(w.cancelled, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, cancel_worlds, testing::Range(0u, 40u));
