Machines that can't report, or hear nothing with an earlier leader's task, hold no work for ever

A machine counted as heard by answers to commands alone, so that it was fed for ever while each of its leases ended; only reports of its own count now. A deaf machine with an earlier leader's unproven task was never given back, and the task waited; it goes back when a lease has passed. The answer to a late copy is no proof of deafness any more.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -419,7 +419,7 @@
     // Checked right before the answer: without entitlement it must not renew a lease.
     if (!in_charge(l) || (!blind && !may_renew(now_s())))
         co_return elsewhere();
-    l->core->answered(report.machine, now_s());
+    l->core->answered(report.machine, age, now_s());
     co_return response{200, text, 0, false};
 }
 
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -345,6 +345,8 @@
     m.seq = r.seq;
     m.token = r.token;
     m.heard_at = now;
+    if (!reply || m.reported_at < 0)
+        m.reported_at = now;
     // Guards against ran_twice: a new session's lease began by itself, before any answer of ours,
     // and direct commands start tasks in it while reports go unanswered.
     if (first || new_session)
@@ -812,13 +814,16 @@
     return false;
 }
 
-void engine::answered(const std::string &machine, double now) {
+void engine::answered(const std::string &machine, report_age age, double now) {
     auto i = machines_.find(machine);
     if (i == machines_.end())
         return;
     auto &m = i->second;
     m.lease_bound =
         std::max(m.lease_bound, now + settings_.lease_s * (1 + c::clock_drift) + c::lease_slack_s);
+    // Guards against a machine taken for deaf: the answer to a late copy reaches nobody.
+    if (age != report_age::fresh)
+        return;
     m.answered_at = now;
     if (m.told_at < 0 && m.token < token_) {
         m.told_token = token_;
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -97,7 +97,7 @@
     // Neither the report nor what is presumed there names a task.
     bool holds_nothing(const worker_report &r) const;
     // The answer was given: the worker's lease may now last until then.
-    void answered(const std::string &machine, double now);
+    void answered(const std::string &machine, report_age age, double now);
     // Orders for a direct command; marks the machine until the command is resolved.
     std::vector<order> orders_in_command(const std::string &machine, double now,
                                          bool starts = true);
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -616,8 +616,9 @@
     tally all;
     double limit = c::silent_reports * settings_.report_s + c::silent_margin_s;
     auto silent_for = [&](const machine_t &m) {
-        // Listed as running without a word to us counts from then.
-        double since = m.up ? std::max(m.heard_at, began_) : m.running_at;
+        // Listed as running without a word to us counts from then. Guards against feeding a machine
+        // that reaches no controller while our commands reach it: its lease ends with all we give.
+        double since = m.up ? std::max(m.reported_at, began_) : m.running_at;
         return since >= 0 ? now - since : 0.0;
     };
     for (auto &[name, m] : machines_) {
@@ -655,8 +656,9 @@
             want_delete(m, "never came up");
         } else if (m.doomed_at >= 0 && (now > m.doomed_at || m.attempts.empty())) {
             want_delete(m, "taken back");
-        } else if (m.deaf_since >= 0 && m.attempts.empty() &&
-                   now - m.deaf_since > settings_.lease_s) {
+        } else if (m.deaf_since >= 0 && now - m.deaf_since > settings_.lease_s) {
+            // Whatever was there has lost its lease; what an earlier leader sent is proven gone
+            // only by this, since the machine never shows our token.
             want_delete(m, "does not hear us");
         } else if (m.quarantined && m.attempts.empty()) {
             want_delete(m, "quarantined");
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -32,9 +32,10 @@
     double doomed_at = -1; // s; when a notice runs out
 
     std::uint64_t session = 0, seq = 0, token = 0;
-    double heard_at = -1;   // s; newest report
-    bool silent = false;    // no word for longer than reports can take
-    double lease_bound = 0; // s; after this an unheard worker has surely killed its tasks
+    double heard_at = -1;    // s; newest report, or answer to a direct command
+    double reported_at = -1; // s; newest report of its own: only those let its lease be renewed
+    bool silent = false;     // no word for longer than reports can take
+    double lease_bound = 0;  // s; after this an unheard worker has surely killed its tasks
 
     // A direct command that may still arrive: it is dead only once the worker has seen a higher
     // token, or has a newer session.
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -215,7 +215,7 @@
                 say("refused: out of date");
             } else {
                 orders(core->orders_in_answer(names.at(0), now));
-                core->answered(names.at(0), now);
+                core->answered(names.at(0), age, now);
             }
         } else if (verb == "cancel-by-name") {
             // Another controller's word, before the job's record tells of it.
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -221,11 +221,14 @@
         if (chance(0.04))
             at(now + real(2, 60), [this, name, r] {
                 auto leader = core;
-                if (!leader || leader->on_report(r, now) == control::engine::report_age::dead)
+                if (!leader)
+                    return;
+                auto age = leader->on_report(r, now);
+                if (age == control::engine::report_age::dead)
                     return;
                 ++copies;
                 leader->orders_in_answer(name, now);
-                leader->answered(name, now);
+                leader->answered(name, age, now);
             });
         if (chance(0.02))
             return;
@@ -239,7 +242,7 @@
                 return;
             auto orders = leader->orders_in_answer(name, now);
             auto token = leader->token();
-            leader->answered(name, now);
+            leader->answered(name, age, now);
             if (chance(0.02) || now < workers.at(name).deaf_until)
                 return;
             double back = now + delay();
