--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -205,8 +205,9 @@
         s->how = how;
         s->signal.notify();
     };
-    user_commits_.submit(std::move(u));
     double limit = now_s() + limit_s;
+    u.give_up_at = limit; // its user is told 503 then, and asks again
+    user_commits_.submit(std::move(u));
     while (!s->how && now_s() < limit)
         co_await s->signal.wait_for(limit - now_s());
     co_return s->how;
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -90,8 +90,21 @@
         versions_[o.key] = revision;
 }
 
+// Guards against submissions that fail for minutes after an outage: users repeat each request every
+// second, and what they have given up on would all be sent first, a few changes a second.
+void committer::drop_given_up(auto &units, double now) {
+    std::erase_if(units, [&](unit &u) {
+        if (u.give_up_at <= 0 || now < u.give_up_at)
+            return false;
+        if (u.result)
+            u.result(unit_outcome::lost, 0);
+        return true;
+    });
+}
+
 awaitable<void> committer::run() {
     while (!stopping_) {
+        drop_given_up(waiting_, net::now_s());
         if (waiting_.empty()) {
             co_await wake_.wait_for(1.0);
             continue;
@@ -179,10 +192,15 @@
                             u.result(unit_outcome::lost, 0);
                     co_return;
                 }
+                if (!unsure) {
+                    drop_given_up(batch, net::now_s());
+                    if (batch.empty())
+                        co_return;
+                }
                 // Guards against a large transaction that the service never has room for while
                 // small ones of other nodes use up what it allows. One that may have been executed
                 // stays as it is: the same again is applied at most once.
-                if (!unsure && batch.size() > 1) {
+                if (!unsure) {
                     std::stable_sort(batch.begin(), batch.end(),
                                      [](auto &a, auto &b) { return a.rank < b.rank; });
                     while (batch.size() > kept) {
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -15,7 +15,8 @@
     std::vector<txn_condition> when; // on keys that others write too
     std::vector<txn_op> ops;
     urgency rank = urgency::rest;
-    bool owned = false; // keys without a condition are ours alone; their versions are known here
+    bool owned = false;    // keys without a condition are ours alone; their versions are known here
+    double give_up_at = 0; // s; not sent any more from then on; 0: never given up
     std::function<void(unit_outcome, std::uint64_t revision)> result;
     std::function<void(std::uint64_t revision)> noted; // once it is durable, before `result`
 };
@@ -42,6 +43,7 @@
 
   private:
     net::awaitable<void> send(std::vector<unit> batch);
+    static void drop_given_up(auto &units, double now);
     void note(const txn_op &o, std::uint64_t revision);
     net::asio::io_context &io_;
     state_client &state_;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -93,6 +93,30 @@
     EXPECT_EQ(c.told[1], unit_outcome::lost);
 }
 
+// Seen on the gap day: after an outage of 91 s no submission was accepted within 200 ms any more.
+TEST(group_commit, what_its_user_has_given_up_is_not_sent_after_an_outage) {
+    committing c;
+    c.commits.fence = nullptr;
+    c.state.outage = true;
+    for (int i = 0; i < 200; ++i) {
+        store::unit u;
+        u.when = {{"j/a/job-" + std::to_string(i % 40), 0}};
+        u.ops = {{u.when[0].key, "{}", 0}};
+        u.give_up_at = net::now_s() + 0.3;
+        u.result = [&](unit_outcome how, std::uint64_t) { c.told.push_back(how); };
+        c.commits.submit(std::move(u));
+    }
+    ASSERT_TRUE(c.until(200, 5));
+    EXPECT_EQ(std::count(c.told.begin(), c.told.end(), unit_outcome::lost), 200);
+    c.state.outage = false;
+    auto before = c.state.commits;
+    c.write("j/a/job-new", "{}");
+    ASSERT_TRUE(c.until(201));
+    EXPECT_EQ(c.told.back(), unit_outcome::committed);
+    EXPECT_EQ(c.state.commits, before + 1);
+    EXPECT_EQ(c.state.keys.count("j/a/job-0"), 0u);
+}
+
 TEST(late_writes, the_fence_is_asked_about_when_its_key_moved) {
     committing c;
     // Our own raise of the token came through late: without a word to whoever holds the fence the
