--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -2,10 +2,13 @@
 // simulated time: late delivery, lost and repeated messages, machines that hang, die or are taken,
 // leaders that follow one another at any step. Every rule is checked as an invariant.
 #include "constants.hpp"
+#include "membership/cancel_exchange.hpp"
 #include "trace_runner.hpp"
+#include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
 #include <fmt/format.h>
 #include <functional>
 #include <gtest/gtest.h>
@@ -27,6 +30,7 @@
     bool spot = false, alive = true;
     double up_at = 0, hang_until = 0;
     double deaf_until = 0; // its reports arrive, but nothing reaches it
+    double mute_until = 0; // it reaches no controller, but commands reach it
     std::uint64_t session = 1, seq = 0, token = 0;
     double lease_from = 0, next_report = 0;
     bool reporting = false;
@@ -60,9 +64,13 @@
     std::uint64_t revision = 10, leader_token = 0;
     std::map<std::string, record> jobs;
     std::map<std::string, job_stage> ended;
-    std::map<std::string, std::string> kv;
+    std::map<std::string, std::pair<std::string, std::uint64_t>> kv; // value, version
+    double outage_until = 0;                                         // nobody is served
+    double blind_until = 0;                                          // the leader alone is refused
     // the leader in office
     std::shared_ptr<control::engine> core;
+    std::map<std::string, std::uint64_t> versions; // of its own keys, as it knows them
+    double known_until = 0;                        // every cancel before then is known to it
     std::deque<control::durable_write> writing;
     // the outside
     std::map<std::string, worker> workers;
@@ -72,7 +80,8 @@
     std::set<std::string> started; // task#attempt that ran on a worker
     std::map<std::pair<std::string, std::uint32_t>, bool> completed;
     std::vector<std::string> broken;
-    int starts = 0, leaders = 0, copies = 0;
+    int starts = 0, leaders = 0, copies = 0, late_writes = 0, by_name = 0, at_end = 0;
+    std::map<std::string, double> waits_since; // with room and allowance there
     bool calm = false;
 
     double real(double a, double b) {
@@ -202,6 +211,12 @@
                 if (t.cause == exit_cause::none) {
                     t.cause = exit_cause::done;
                     completed[k] = true;
+                    // A cancellation meets the end, as its user sees fit: before or after the
+                    // report.
+                    if (chance(0.05)) {
+                        ++at_end;
+                        at(now + real(0, 2), [this, job = k.first] { cancel(job); });
+                    }
                 }
                 w.next_report = std::min(w.next_report, now);
             }
@@ -227,10 +242,12 @@
                 if (age == control::engine::report_age::dead)
                     return;
                 ++copies;
+                if (!may_renew())
+                    return;
                 leader->orders_in_answer(name, now);
                 leader->answered(name, age, now);
             });
-        if (chance(0.02))
+        if (chance(0.02) || now < w.mute_until)
             return;
         double arrives = now + delay();
         at(arrives, [this, name, session, sent, r] {
@@ -240,7 +257,10 @@
             auto age = leader->on_report(r, now);
             if (age == control::engine::report_age::dead)
                 return;
-            auto orders = leader->orders_in_answer(name, now);
+            bool renew = may_renew();
+            if (!renew && !leader->holds_nothing(r))
+                return;
+            auto orders = leader->orders_in_answer(name, now, renew);
             auto token = leader->token();
             leader->answered(name, age, now);
             if (chance(0.02) || now < workers.at(name).deaf_until)
@@ -281,7 +301,7 @@
         if (!m)
             return;
         auto session = m->session;
-        auto orders = leader->orders_in_command(name, now);
+        auto orders = leader->orders_in_command(name, now, may_renew());
         if (orders.empty())
             return;
         bool starts_in = false;
@@ -326,18 +346,103 @@
         at(now + (chance(0.15) ? real(1, 40) : delay()), *arrive);
     }
 
-    void apply_write(std::shared_ptr<control::engine> leader, const control::durable_write &w) {
-        bool fenced = leader == core; // a raise of the token is no change of leader
-        if (!fenced)
-            return;
-        bool ok = true;
-        for (auto &c : w.when) {
+    bool may_renew() const {
+        return membership::may_renew(now, known_until, conf.lease_s, conf.cancel_s);
+    }
+
+    // What the committer does: the leader's own keys carry the version it knows, all else the
+    // version that the engine names, and the whole the leader key's.
+    struct transaction {
+        control::durable_write what;
+        std::map<std::string, std::uint64_t> owned;
+        std::uint64_t fence = 0;
+    };
+
+    bool apply(const transaction &t) {
+        if (t.fence != leader_token)
+            return false;
+        for (auto &c : t.what.when) {
             auto j = jobs.find(c.key.substr(4));
             if (j == jobs.end() || j->second.version != c.version)
-                ok = false;
+                return false;
+        }
+        for (auto &[key, version] : t.owned) {
+            auto k = kv.find(key);
+            if ((k == kv.end() ? 0 : k->second.second) != version)
+                return false;
+        }
+        ++revision;
+        carry_out(t.what);
+        return true;
+    }
+
+    void apply_write(std::shared_ptr<control::engine> leader, const control::durable_write &w) {
+        if (leader != core)
+            return;
+        if (now < outage_until || now < blind_until) {
+            at(now + 0.25, [this, leader, w] { apply_write(leader, w); });
+            return;
+        }
+        transaction t{w, {}, leader_token};
+        for (auto &o : w.ops)
+            if (o.key[0] != 'j')
+                t.owned[o.key] = versions.count(o.key) ? versions[o.key] : 0;
+        // No answer: the same is sent again until one comes, and each copy may be carried out at
+        // any time, also after newer transactions.
+        if (chance(0.05)) {
+            ++late_writes;
+            at(now + real(0.5, 40), [this, t] { apply(t); });
+            if (chance(0.5)) {
+                at(now + 1.75, [this, leader, t] { settle(leader, t); });
+                return;
+            }
+        }
+        settle(leader, t);
+    }
+
+    // After a lost answer one's own copy may have moved the keys: a written value tells.
+    void settle(std::shared_ptr<control::engine> leader, const transaction &t) {
+        if (leader != core)
+            return;
+        if (now < outage_until || now < blind_until) {
+            at(now + 0.25, [this, leader, t] { settle(leader, t); });
+            return;
+        }
+        auto again = t;
+        again.fence = leader_token; // raised meanwhile: the fence is taken anew
+        bool ok = apply(again) || was_applied(t.what);
+        if (ok)
+            for (auto &o : t.what.ops)
+                if (o.key[0] != 'j') {
+                    if (o.value.empty())
+                        versions.erase(o.key);
+                    else
+                        versions[o.key] = kv.at(o.key).second;
+                }
+        if (!chance(0.02) || ok)
+            leader->on_written(t.what, ok, revision, now);
+        else
+            at(now + 1, [this, leader, w = t.what] {
+                if (leader == core)
+                    leader->on_written(w, false, revision, now);
+            });
+    }
+
+    bool was_applied(const control::durable_write &w) {
+        for (auto &o : w.ops) {
+            if (o.value.empty())
+                continue;
+            if (o.key.rfind("j/e/", 0) == 0)
+                return ended.count(o.key.substr(4)) > 0;
+            auto k = kv.find(o.key);
+            return k != kv.end() && k->second.first == o.value;
         }
-        if (ok) {
-            ++revision;
+        return std::all_of(w.ops.begin(), w.ops.end(),
+                           [&](auto &o) { return o.key[0] != 'j' && !kv.count(o.key); });
+    }
+
+    void carry_out(const control::durable_write &w) {
+        {
             for (auto &o : w.ops) {
                 if (o.key.rfind("j/a/", 0) == 0) {
                     jobs.erase(o.key.substr(4));
@@ -345,6 +450,8 @@
                     auto e = wire::parse_ended(o.value);
                     auto id = o.key.substr(4);
                     ended[id] = e.stage;
+                    if ((e.stage == job_stage::cancelled) != (told_cancelled.count(id) > 0))
+                        breaks("went_back: " + id);
                     if (e.stage == job_stage::done)
                         for (std::uint32_t k = 0; k < uploaded.at(id).tasks; ++k)
                             if (!completed[{id, k}])
@@ -352,23 +459,34 @@
                 } else if (o.value.empty()) {
                     kv.erase(o.key);
                 } else {
-                    kv[o.key] = o.value;
+                    kv[o.key] = {o.value, revision};
                 }
             }
         }
-        if (!chance(0.02) || ok)
-            leader->on_written(w, ok, revision, now);
     }
 
     void elect() {
+        if (now < outage_until) { // nobody can be chosen
+            at(outage_until + 0.1, [this] {
+                if (!core)
+                    elect();
+            });
+            return;
+        }
         ++leaders;
+        blind_until = 0;
+        known_until = now;
+        versions.clear();
+        for (auto &[key, value] : kv)
+            versions[key] = value.second;
         leader_token = ++revision;
         core = std::make_shared<control::engine>(conf, types);
         core->begin(now, leader_token, 0);
         for (auto &[id, r] : jobs)
             core->load_job(id, r.job, r.version, now);
         for (int pass = 0; pass < 2; ++pass) // done records before placements
-            for (auto &[key, value] : kv) {
+            for (auto &[key, kept] : kv) {
+                auto &value = kept.first;
                 if (pass == 0 && key[0] == 'd')
                     core->load_done(key.substr(2), wire::parse_done(value));
                 if (pass == 1 && key[0] == 'p')
@@ -380,6 +498,9 @@
     }
 
     void lead() {
+        // Other controllers tell all they confirm within moments, unless nobody hears them.
+        if (now >= blind_until || !unheard)
+            known_until = now - 1;
         core->tick(now);
         auto leader = core;
         double t = now + real(0.01, 0.1) + (chance(0.02) ? 2 : 0);
@@ -421,7 +542,7 @@
                         leader->on_deleted(names, now);
                 }
             });
-        if (core->wants_token_raise(now)) {
+        if (core->wants_token_raise(now) && now >= outage_until && now >= blind_until) {
             leader_token = ++revision;
             core->on_token(leader_token);
         }
@@ -451,15 +572,31 @@
     void tell(std::string id) {
         auto leader = core;
         at(now + real(0.01, 0.3), [this, leader, id] {
-            if (auto j = jobs.find(id); j != jobs.end() && leader && leader == core)
+            if (leader != core || !leader)
+                return;
+            if (now < outage_until || now < blind_until) {
+                auto j = jobs.find(id);
+                if (j != jobs.end() && j->second.job.cancelled && !unheard) {
+                    ++by_name;
+                    leader->on_cancel({id, j->second.version, j->second.cancelled_at}, now);
+                }
+                tell_after(id, std::max(outage_until, blind_until));
+                return;
+            }
+            if (auto j = jobs.find(id); j != jobs.end())
                 leader->on_job(id, j->second.job, j->second.version, now);
         });
     }
 
+    void tell_after(const std::string &id, double t) {
+        at(t + 0.01, [this, id] { tell(id); });
+    }
+
     void cancel(const std::string &id) {
         auto j = jobs.find(id);
-        if (j == jobs.end() || j->second.job.cancelled)
+        if (j == jobs.end() || j->second.job.cancelled || now < outage_until)
             return;
+        told_cancelled.insert(id);
         j->second.job.cancelled = true;
         j->second.version = ++revision;
         j->second.cancelled_at = now;
@@ -478,6 +615,41 @@
                             breaks("ran_cancelled: " + k.first);
     }
 
+    // After the troubles nothing waits 90 s while a machine that fits has room and its team may.
+    void check_waits() {
+        for (auto &[id, r] : jobs) {
+            auto &s = r.job.spec;
+            bool waits = !r.job.cancelled && s.shape == job_shape::array;
+            bool undone = false;
+            for (std::uint32_t k = 0; k < s.tasks; ++k)
+                undone = undone || !completed.count({id, k});
+            waits = waits && undone;
+            double used = 0;
+            bool room = false;
+            for (auto &[n, w] : workers) {
+                if (!w.alive || now < w.up_at)
+                    continue;
+                double free = w.type == "small" ? 4 : 16;
+                for (auto &[k, t] : w.tasks)
+                    if (t.state != task_state::exited) {
+                        free -= uploaded.at(k.first).cpus;
+                        if (uploaded.at(k.first).team == s.team)
+                            used += uploaded.at(k.first).cpus;
+                        waits = waits && k.first != id;
+                    }
+                room = room || (free >= s.cpus && (s.spot || !w.spot));
+            }
+            auto *team = conf.find_team(s.team);
+            if (!waits || !room || (team->cpus_max > 0 && used + s.cpus > team->cpus_max))
+                waits_since.erase(id);
+            else if (waits_since.emplace(id, now).first->second < now - 90)
+                breaks(fmt::format("waits: {}", describe(id)));
+        }
+    }
+
+    std::set<std::string> told_cancelled;
+    bool unheard = false; // no controller that confirms cancels reaches the leader
+
     std::string describe(const std::string &id) {
         auto *j = core ? core->find_job(id) : nullptr;
         if (!j)
@@ -501,6 +673,7 @@
             if (!calm && now > length * 0.6) {
                 // From here on nothing fails, and no service holds a team's limit for ever.
                 calm = true;
+                outage_until = blind_until = 0;
                 std::vector<std::string> services;
                 for (auto &[id, r] : jobs)
                     if (r.job.spec.shape == job_shape::service)
@@ -513,7 +686,13 @@
                 events.pop();
                 e.what();
             }
-            if (now >= next_job && !calm) {
+            if (chance(0.0004))
+                outage_until = now + real(1, 60);
+            if (chance(0.0006)) {
+                blind_until = now + real(1, 60);
+                unheard = chance(0.3);
+            }
+            if (now >= next_job && now >= outage_until && !calm) {
                 next_job = now + real(4, 16);
                 submit(++n);
             }
@@ -534,6 +713,8 @@
                     w.hang_until = now + real(1, 40);
                 if (chance(0.0001))
                     w.deaf_until = now + real(5, 80);
+                if (chance(0.0001))
+                    w.mute_until = now + real(5, 80);
                 work(w);
             }
             if (core) {
@@ -551,6 +732,8 @@
             }
             if (!calm)
                 check_cancelled();
+            else if (std::fmod(now, 1.0) < 0.05)
+                check_waits();
         }
     }
 };
@@ -566,6 +749,7 @@
     EXPECT_GT(w.starts, 50);
     EXPECT_GT(w.leaders, 1);
     EXPECT_GT(w.copies, 10);
+    EXPECT_GT(w.late_writes, 0);
     // Forgotten: whatever was accepted is known for ever, as active or as ended.
     for (auto &[id, s] : w.uploaded)
         EXPECT_TRUE(w.jobs.count(id) || w.ended.count(id)) << id;
