--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -109,6 +109,8 @@
 inline constexpr int deaf_reports = 2; // reports in a row that show nothing of our answers
 inline constexpr double deaf_share =
     0.7; // of the lease; a session that ends so soon after our answer did not get it
+inline constexpr double deaf_leases =
+    1.6; // leases; a machine deaf for longer is given back: by then it has shown whether it hears
 inline constexpr double silent_reports =
     3.0; // report intervals without a word before a machine is silent
 inline constexpr double silent_margin_s =
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -349,6 +349,8 @@
         m.reported_at = now;
     // Guards against ran_twice: a new session's lease began by itself, before any answer of ours,
     // and direct commands start tasks in it while reports go unanswered.
+    if (m.session_at < 0 || new_session)
+        m.session_at = now;
     if (first || new_session)
         m.lease_bound = std::max(m.lease_bound,
                                  now + settings_.lease_s * (1 + c::clock_drift) + c::lease_slack_s);
@@ -489,6 +491,14 @@
         m.told_at = -1;
     }
     double round = c::worker_patience_s + 1 + 1.25 * settings_.report_s;
+    // Guards against a mark that outlives its cause: the answer that its last session seemed not to
+    // have got may have gone to a late copy. A session that outlasts a lease was answered.
+    if (m.deaf_since >= 0 && !new_session &&
+        now - m.session_at > settings_.lease_s * (1 + c::clock_drift) + c::lease_slack_s + round) {
+        m.unheeded = 0;
+        m.deaf_since = m.told_at = -1;
+        dirty_ = true;
+    }
     bool token_ignored = m.told_at >= 0 && r.token < m.told_token && now - m.told_at > round;
     if ((starts_ignored_ || token_ignored) && ++m.unheeded == 1)
         m.unheeded_at = now;
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -656,7 +656,7 @@
             want_delete(m, "never came up");
         } else if (m.doomed_at >= 0 && (now > m.doomed_at || m.attempts.empty())) {
             want_delete(m, "taken back");
-        } else if (m.deaf_since >= 0 && now - m.deaf_since > settings_.lease_s) {
+        } else if (m.deaf_since >= 0 && now - m.deaf_since > c::deaf_leases * settings_.lease_s) {
             // Whatever was there has lost its lease; what an earlier leader sent is proven gone
             // only by this, since the machine never shows our token.
             want_delete(m, "does not hear us");
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -52,6 +52,7 @@
     double told_at = -1, answered_at = -1; // s
     int unheeded = 0;
     double unheeded_at = -1, deaf_since = -1; // s
+    double session_at = -1;                   // s; when its session was first heard of
 
     std::set<catalog::task_ref> attempts; // not proven gone
     std::deque<queued_task> queue;        // won, not yet placed
