--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -194,6 +194,9 @@
             r.spec.estimate_s = std::stod(get(f, "estimate", "30"));
             r.spec.spread = get(f, "spread", "no") == "yes";
             r.spec.spot = get(f, "spot", "yes") == "yes";
+            r.spec.one_zone = get(f, "one_zone", "no") == "yes";
+            if (f.count("zone"))
+                r.spec.zone = get(f, "zone", "");
             r.spec.image = get(f, "image", "img");
             if (get(f, "shape", "array") == "service") {
                 r.spec.shape = job_shape::service;
