--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -101,10 +101,9 @@
         if (!granted && m.text("role") == "leader" && !book_.in_blackout(now))
             spdlog::debug("no promise to {}: given to {}", as, book_.holder(now));
     }
-    // A leader without the state service asks whether others have it: they must know by the next
-    // question.
-    if (m.text("role") == "leader" && !m.number("state_ok") &&
-        now - records().fresh_at > c::leader_renew_s)
+    // A leader without the state service, or its workers, asks whether another could be chosen:
+    // this controller must know by the next question whether the state service answers it.
+    if (m.number("wants_word") && now - records().fresh_at > c::leader_renew_s)
         want_read();
     out.numbers["state_ok"] = state_.serving(now);
     out.numbers["reports_age_ms"] =
@@ -135,6 +134,8 @@
     m.numbers["ms"] = static_cast<std::uint64_t>(length_s * 1000);
     auto question = p.cancels.question(records().revision);
     if (!candidate) {
+        double now = now_s();
+        m.numbers["wants_word"] = !state_.serving(now) || now - last_report_ > c::resign_deaf_s / 2;
         m.texts["cancels_run"] = question.incarnation;
         m.numbers["cancels_after"] = question.after;
         m.numbers["cancels_revision"] = question.revision;
