Faulty machines are told from faulty jobs; suspect jobs are retried one at a time

Cause: two jobs that fail everywhere met on a machine and it was quarantined; after each pause all tasks of such a job were placed again, and a new leader began anew.

--- a/src/catalog/job.hpp
+++ b/src/catalog/job.hpp
@@ -33,6 +33,7 @@
     double estimate_s = 0;                        // run time expected on this machine
     double created_at = 0;                        // s
     double running_since = -1;                    // s, when first reported running
+    double running_seen = -1;                     // s, when last reported running
     double fetch_since = -1;                      // s
     std::uint64_t sent_session = 0, sent_seq = 0; // report whose answer carried the start
     bool inherited = false;                       // from an earlier leader's placement record
@@ -73,9 +74,7 @@
     bool guaranteed = false;
     double took_sum = 0; // s; run times of its done tasks, at the speed of an ordinary machine
     int took_count = 0;
-    int failures = 0;
     double backoff_until = 0;
-    std::set<std::string> failed_on;
 
     bool over() const { return cancelled || ended || end_writing; }
     // Tasks neither done, queued nor on a machine.
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -143,7 +143,17 @@
 inline constexpr double slow_machine = 0.6; // a machine slower than this is given back
 inline constexpr int slow_samples = 5;      // tasks; measurements needed before it counts as slow
 inline constexpr double default_estimate_s = 30.0; // s; where the owner gives no estimate
-inline constexpr int errors_to_quarantine = 2;     // jobs that failed in a row on one machine
+inline constexpr std::size_t suspect_machines =
+    2; // machines; a job that failed on so many and ran on none is suspect
+inline constexpr std::size_t undecided_jobs =
+    3; // jobs; a machine on which so many failed that ran nowhere else since counts as faulty
+inline constexpr double probation_s =
+    10.0; // s; a machine gets no work while it is open whose fault a failure was
+inline constexpr double proof_least_s =
+    2.0; // s; an attempt that runs for so long has not failed at its start
+inline constexpr double proof_runs = 2.0; // of the longest failed run; beyond it a job works
+inline constexpr double suspects_gap_s =
+    2.0; // s; between two records of the suspect jobs, of which nobody waits for one
 inline constexpr double job_backoff_s = 5.0; // s; first pause of a job whose tasks fail; doubles
 inline constexpr double job_backoff_max_s = 60.0; // s; longest such pause
 inline constexpr double spoilt_slot_s =
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -553,15 +553,17 @@
         if (types.empty())
             co_await net::sleep_s(c::state_retry_s);
     }
-    std::optional<wire::range_answer> placed, done, rentals;
-    while (keep_trying() && !(placed && done && rentals)) {
+    std::optional<wire::range_answer> placed, done, rentals, suspects;
+    while (keep_trying() && !(placed && done && rentals && suspects)) {
+        if (!suspects)
+            suspects = co_await state_.list(suspects_key, store::urgency::leadership);
         if (!placed)
             placed = co_await state_.list(placed_prefix, store::urgency::leadership);
         if (!done)
             done = co_await state_.list(done_prefix, store::urgency::leadership);
         if (!rentals)
             rentals = co_await state_.list(rental_prefix, store::urgency::leadership);
-        if (!(placed && done && rentals))
+        if (!(placed && done && rentals && suspects))
             co_await net::sleep_s(c::state_retry_s);
     }
     // The jobs as of now: every change up to this leadership is in the cache after this.
@@ -606,6 +608,12 @@
             core->load_rental(name, wire::parse_rental_record(value), now);
         },
         [] {}); // the machines are used or returned as they appear
+    each(
+        *suspects, l->records, "",
+        [&](const std::string &, const std::string &value) {
+            core->load_suspects(wire::parse_suspects(value), now);
+        },
+        [] {}); // they are found out again
     core->loaded(now);
     std::erase_if(l->cancels, [&](auto &n) { return n.second.revision <= cache_.revision(); });
     for (auto &[id, n] : l->cancels)
@@ -644,6 +652,7 @@
     case write_kind::rental:
         return store::urgency::placement;
     case write_kind::cleanup:
+    case write_kind::suspects:
         return store::urgency::rest;
     }
     return store::urgency::rest;
@@ -671,7 +680,8 @@
                 l->wake.notify();
             };
             bool ended = w.ops.front().key.starts_with(jobs_prefix) ||
-                         w.ops.front().key.starts_with(done_prefix);
+                         w.ops.front().key.starts_with(done_prefix) ||
+                         w.kind == write_kind::suspects;
             (ended ? l->records : l->commits).submit(std::move(u));
         }
         for (auto &r : core.take_rentals(now))
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -466,7 +466,9 @@
                           t.job, t.index, m.name, m.type.name, m.zone, now - j->accepted_at,
                           now - a->created_at);
         }
+        failures_.machine_ran(m.name, a->created_at);
         a->phase = attempt_phase::running;
+        a->running_seen = now;
         m.use_image(j->spec.image, j->spec.image_gb, now);
         break;
     case task_state::saving:
@@ -542,13 +544,12 @@
     auto index = a.task.index;
     auto cause = t.cause;
     double ran = a.running_since >= 0 ? now - a.running_since : -1;
-    double estimate = a.estimate_s;
     a.phase = attempt_phase::exited;
     a.cause = cause;
     bool forget = true;
     switch (cause) {
     case exit_cause::done:
-        m.error_jobs.clear();
+        failures_.machine_ran(m.name, a.created_at);
         m.use_image(j.spec.image, j.spec.image_gb, now);
         if (j.spec.shape == job_shape::array && !j.over()) {
             if (ran > 0) {
@@ -567,21 +568,11 @@
             task_done(j, index, now);
             forget = false;
         }
-        // The job is fine, so what failed it elsewhere were the machines.
-        if (!j.failed_on.empty()) {
-            for (auto &name : j.failed_on)
-                if (auto i = machines_.find(name); i != machines_.end() && name != m.name &&
-                                                   i->second.error_jobs.count(j.spec.id)) {
-                    i->second.quarantined = true;
-                    withdraw(i->second);
-                }
-            j.failed_on.clear();
-            j.failures = 0;
-            j.backoff_until = 0;
-        }
+        failures_.job_ran(j.spec.id);
+        quarantine_faulty();
         break;
     case exit_cause::error:
-        task_failed(m, j, now);
+        task_failed(m, j, a, now);
         break;
     case exit_cause::no_room:
     case exit_cause::busy:
@@ -596,37 +587,78 @@
     case exit_cause::none:
         break;
     }
-    (void)estimate;
     if (forget) {
         drop_attempt(j, index, true);
         m.strays.push_back({order_kind::forget, t.job, t.index, t.attempt, 0});
     }
 }
 
-void engine::task_failed(machine_t &m, job_t &j, double now) {
-    m.error_jobs.insert(j.spec.id);
-    j.failed_on.insert(m.name);
-    ++j.failures;
-    bool job_works = j.done_seen > 0;
-    if (!job_works)
-        for (auto &[i, a] : j.live)
-            if (a.phase == attempt_phase::running && a.machine != m.name)
-                job_works = true;
-    if (job_works || m.error_jobs.size() >= static_cast<std::size_t>(c::errors_to_quarantine)) {
-        if (!m.quarantined)
-            spdlog::info("{}: quarantined, tasks fail there", m.name);
-        m.quarantined = true;
-        withdraw(m);
+void engine::task_failed(machine_t &m, job_t &j, const attempt_t &a, double now) {
+    double ran = a.running_since >= 0 ? now - a.running_since : 0;
+    if (failures_.attempt_failed({j.spec.id, m.name, ran, job_runs(j)}, now)) {
+        spdlog::info("{}: fails wherever it runs, retried one task at a time", j.spec.id);
+        while (!j.queued.empty()) {
+            auto index = j.queued.begin()->first;
+            unqueue_task(j, index);
+            j.push_back(index);
+        }
     }
-    if (j.failed_on.size() >= 2 && !job_works) {
-        // It fails wherever it goes: it waits longer and longer, and harms no one else.
-        double pause = c::job_backoff_s;
-        for (std::size_t k = 2; k < j.failed_on.size() && pause < c::job_backoff_max_s; ++k)
-            pause *= 2;
-        j.backoff_until = now + std::min(pause, c::job_backoff_max_s);
+    m.probation_until = failures_.probation_until(m.name);
+    if (m.probation_until > now)
+        unqueue(m);
+    quarantine_faulty();
+}
+
+bool engine::job_runs(const job_t &j) const {
+    if (j.done_seen > 0)
+        return true;
+    double proof = failures_.proof_s(j.spec.id);
+    // Reported so again and again: without reports nobody knows whether it still runs.
+    return std::any_of(j.live.begin(), j.live.end(), [&](auto &i) {
+        auto &a = i.second;
+        return a.running_since >= 0 && a.running_seen - a.running_since > proof;
+    });
+}
+
+void engine::review_failures() {
+    for (auto &id : failures_.unproven_jobs()) {
+        auto *j = job_of(id);
+        if (!j || j->over())
+            failures_.forget_job(id);
+        else if (job_runs(*j))
+            failures_.job_ran(id);
+    }
+    quarantine_faulty();
+    for (auto &[name, m] : machines_)
+        m.probation_until = failures_.probation_until(name);
+}
+
+void engine::quarantine_faulty() {
+    for (auto &name : failures_.take_faulty()) {
+        auto i = machines_.find(name);
+        if (i == machines_.end() || i->second.quarantined)
+            continue;
+        spdlog::info("{}: quarantined, tasks fail there", name);
+        i->second.quarantined = true;
+        withdraw(i->second);
     }
 }
 
+bool engine::may_place(const job_t &j, double now) const {
+    if (j.waiting() == 0 || now < j.backoff_until)
+        return false;
+    if (!failures_.is_suspect(j.spec.id))
+        return true;
+    return now >= failures_.retry_at(j.spec.id) && j.queued.empty() && j.live.empty();
+}
+
+void engine::load_suspects(const std::vector<std::string> &jobs, double now) {
+    suspects_written_ = jobs;
+    for (auto &id : jobs)
+        if (job_of(id))
+            failures_.load_suspect(id, now);
+}
+
 // The attempt is not in a report newer than all we knew.
 void engine::task_missing(machine_t &m, job_t &j, attempt_t &a, const worker_report &r,
                           double now) {
@@ -880,6 +912,7 @@
     if (i == machines_.end())
         return;
     clear_machine(i->second, true, now);
+    failures_.forget_machine(name);
     bidders_.erase(name);
     machines_.erase(name);
     removed_[name] = now;
@@ -1258,6 +1291,31 @@
     }
 }
 
+// Guards against a new leader that tries every task of a job that fails everywhere once more, and
+// blames the machines for it.
+void engine::write_suspects(std::vector<durable_write> &out, double now) {
+    if (suspects_busy_ || now - suspects_at_ < c::suspects_gap_s)
+        return;
+    auto most = static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024);
+    std::vector<std::string> jobs;
+    std::size_t bytes = wire::suspects_bytes("");
+    for (auto &id : failures_.suspects()) {
+        bytes += wire::suspects_bytes(id);
+        if (bytes > most)
+            break;
+        jobs.push_back(id);
+    }
+    if (jobs == suspects_written_)
+        return;
+    suspects_at_ = now;
+    suspects_busy_ = true;
+    durable_write w;
+    w.kind = write_kind::suspects;
+    w.ops.push_back({suspects_key, wire::encode_suspects(jobs), 0});
+    w.suspects = std::move(jobs);
+    out.push_back(std::move(w));
+}
+
 void engine::on_done_written(const durable_write &w, bool ok, double now) {
     auto r = done_records_.find(w.segment);
     if (r != done_records_.end()) {
@@ -1306,6 +1364,7 @@
     }
     write_done(out, now, room);
     write_rentals(out);
+    write_suspects(out, now);
     while (!cleanup_.empty() && room > 0) {
         out.push_back(std::move(cleanup_.back()));
         cleanup_.pop_back();
@@ -1363,6 +1422,12 @@
         on_placements_written(w, ok, now);
         return;
     }
+    if (w.kind == write_kind::suspects) {
+        suspects_busy_ = false;
+        if (ok)
+            suspects_written_ = w.suspects;
+        return;
+    }
     if (w.kind == write_kind::done) {
         on_done_written(w, ok, now);
         return;
@@ -1386,6 +1451,7 @@
     case write_kind::done:
     case write_kind::cleanup:
     case write_kind::rental:
+    case write_kind::suspects:
         break;
     }
 }
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -7,6 +7,7 @@
 #include "fairness/team_queues.hpp"
 #include "settings/settings.hpp"
 #include "wire/codec.hpp"
+#include "workers/failure_ledger.hpp"
 #include "workers/machine.hpp"
 #include <deque>
 #include <functional>
@@ -32,9 +33,10 @@
 inline constexpr const char *done_prefix = "d/";
 inline constexpr const char *rental_prefix = "m/";
 inline constexpr const char *types_key = "c/types";
+inline constexpr const char *suspects_key = "f/suspects";
 inline constexpr const char *leader_key = "leader";
 
-enum class write_kind { placed, done, job_end, cleanup, rental };
+enum class write_kind { placed, done, job_end, cleanup, rental, suspects };
 
 // A change that must be durable before its consequence.
 struct durable_write {
@@ -46,6 +48,7 @@
     std::vector<std::pair<catalog::task_ref, std::uint64_t>> attempts; // placed: newly covered
     std::vector<catalog::task_ref> done;                               // done: newly covered
     std::string rental;                                                // rental: the round's name
+    std::vector<std::string> suspects;                                 // suspects: the jobs
 };
 
 struct rental_state {
@@ -75,6 +78,8 @@
     // reported or its lease is over, and nothing starts before.
     void load_unreadable_placements(double now);
     void load_rental(const std::string &round, const wire::rental_record &r, double now);
+    // Jobs that an earlier leader found to fail wherever they ran.
+    void load_suspects(const std::vector<std::string> &jobs, double now);
     void loaded(double now);
 
     // --- events ---
@@ -155,7 +160,15 @@
     void task_exited(machine_t &m, job_t &j, attempt_t &a, const task_report &t, double now);
     void task_missing(machine_t &m, job_t &j, attempt_t &a, const worker_report &r, double now);
     void task_done(job_t &j, std::uint32_t index, double now);
-    void task_failed(machine_t &m, job_t &j, double now);
+    void task_failed(machine_t &m, job_t &j, const attempt_t &a, double now);
+    // An attempt that runs for long enough, or is done, shows that the job works.
+    bool job_runs(const job_t &j) const;
+    // Draws the conclusions about machines and jobs on which attempts failed.
+    void review_failures();
+    void quarantine_faulty();
+    // A suspect job is retried one task at a time.
+    bool may_place(const job_t &j, double now) const;
+    void write_suspects(std::vector<durable_write> &out, double now);
     void drop_attempt(job_t &j, std::uint32_t index, bool again);
     void stop_attempt(attempt_t &a, double grace_s, double now);
     void cancel_job(job_t &j, double wall_at, double now);
@@ -238,6 +251,10 @@
     std::set<std::string> sold_out_;   // offers whose last answer was not all that was asked for
     std::map<std::string, int> asked_; // machines asked for by offer, not answered yet
     static std::string offer_key(const std::string &type, const std::string &zone, bool spot);
+    workers::failure_ledger failures_;
+    std::vector<std::string> suspects_written_; // as the record at the state service has them
+    bool suspects_busy_ = false;
+    double suspects_at_ = -1e9; // s; when the record was last written
     std::vector<durable_write> cleanup_;
     // Placements of any jobs share records, filled one after another, so that a round of placements
     // costs one change at the state service, however many jobs it touches.
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -109,7 +109,8 @@
             note(a.machine);
         for (auto &[i, name] : j.queued)
             note(name);
-        for (std::uint32_t k = 0; k < j.waiting(); ++k) {
+        auto tasks = failures_.is_suspect(id) ? 1 : j.waiting();
+        for (std::uint32_t k = 0; k < tasks; ++k) {
             bool done = false;
             for (auto &b : fleet) {
                 if (j.spec.spread && zone_count[b.zone] >= j.zone_cap())
@@ -193,6 +194,8 @@
         if (j.spec.shape != job_shape::array || j.over() || now < j.backoff_until)
             continue;
         double n = j.waiting() + static_cast<double>(j.queued.size());
+        if (failures_.is_suspect(id))
+            n = std::min(n, 1.0); // no room is rented for what fails anyway
         double w = n * expected_s(j);
         for (auto &[i, a] : j.live)
             if (a.holds_room()) {
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -113,7 +113,7 @@
         return;
     std::vector<job_t *> by_age;
     for (auto &[id, j] : jobs_)
-        if (!j.over())
+        if (!j.over() && !failures_.is_suspect(id))
             by_age.push_back(&j);
     std::sort(by_age.begin(), by_age.end(),
               [](auto *a, auto *b) { return a->accepted_at < b->accepted_at; });
@@ -209,9 +209,9 @@
 std::optional<round_bid> engine::bid_of(const job_t &j, bidder &b, const std::vector<char> &places,
                                         double expected, bool some_failed, double now) const {
     auto &s = j.spec;
-    if (!places[b.place] || now < b.m->refused_until)
+    if (!places[b.place] || !b.m->takes_work(now))
         return {};
-    if (some_failed && j.failed_on.count(b.m->name))
+    if (some_failed && failures_.failed_on(j.spec.id, b.m->name))
         return {};
     bool critical = s.rank == priority::critical;
     bool preempting = false;
@@ -243,7 +243,8 @@
     auto &s = j.spec;
     double expected = expected_s(j);
     auto places = places_for(j);
-    bool some_failed = !j.failed_on.empty() && j.failed_on.size() < round.bidders.size();
+    auto failed = failures_.failed_machines(s.id);
+    bool some_failed = failed > 0 && failed < round.bidders.size();
     bid_round::need need{
         s.cpus, s.gpus, s.memory_gb, s.shape == job_shape::service, s.rank == priority::critical,
         places};
@@ -373,8 +374,8 @@
             o.memory_gb < s.memory_gb || beyond(o.team) < o.cpus)
             continue;
         auto at = bidders_.find(a.machine);
-        if (at == bidders_.end() || !places[at->second.place] ||
-            now < at->second.m->refused_until || j.failed_on.count(a.machine))
+        if (at == bidders_.end() || !places[at->second.place] || !at->second.m->takes_work(now) ||
+            failures_.failed_on(s.id, a.machine))
             continue;
         stopping_[o.team] += o.cpus;
         ++made_room_;
@@ -450,7 +451,7 @@
     for (auto rank : {priority::critical, priority::high, priority::normal, priority::low}) {
         std::map<std::string, std::vector<candidate>> teams;
         for (auto &[id, j] : jobs_)
-            if (j.spec.rank == rank && j.waiting() > 0 && now >= j.backoff_until)
+            if (j.spec.rank == rank && may_place(j, now))
                 teams[j.spec.team].push_back({&j, fairness::all_tasks});
         for (auto &[name, list] : teams) {
             if (list.size() < 2)
@@ -484,7 +485,8 @@
             auto &list = next->second;
             auto &turn = list.back();
             auto &j = *turn.job;
-            bool placed = teams_.within_limit(j.spec) && bid_once(j, round, now);
+            bool placed =
+                teams_.within_limit(j.spec) && may_place(j, now) && bid_once(j, round, now);
             if (!placed || j.waiting() == 0 || --turn.most == 0)
                 list.pop_back();
             if (list.empty())
@@ -498,7 +500,7 @@
 }
 
 void engine::start_queued(machine_t &m, double now) {
-    if (!m.up || !m.usable() || m.silent || now < m.refused_until)
+    if (!m.up || !m.usable() || m.silent || !m.takes_work(now))
         return;
     m.startable = false;
     bidding::room room{m.type.cpus, m.type.gpus, m.type.memory_gb};
@@ -676,6 +678,7 @@
         last_check_ = now;
         check_leases(now);
         check_cancelled(now);
+        review_failures();
         check_machines(now);
     }
     if ((dirty_ && now - last_plan_ >= c::plan_gap_s) || now - last_plan_ >= 1.0) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -667,6 +667,28 @@
     return json::serialize(o);
 }
 
+std::string encode_suspects(const std::vector<std::string> &jobs) {
+    return json::serialize(json::object{{"jobs", json::value_from(jobs)}});
+}
+
+std::vector<std::string> parse_suspects(const std::string &value) {
+    auto o = parse_object(value);
+    auto *jobs = o.if_contains("jobs");
+    if (!jobs || !jobs->is_array())
+        fail("jobs", "must be a list");
+    std::vector<std::string> out;
+    for (auto &id : jobs->get_array()) {
+        if (!id.is_string())
+            fail("jobs", "must hold strings");
+        out.emplace_back(id.get_string());
+    }
+    return out;
+}
+
+std::size_t suspects_bytes(const std::string &job) {
+    return job.empty() ? std::string(R"({"jobs":[]})").size() : job.size() + 3;
+}
+
 std::size_t done_bytes(const std::string &job, std::size_t tasks) {
     return job.size() + (tasks + 3) / 4 + 12; // the part's number, quotes, colon and comma
 }
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -118,6 +118,12 @@
 // At most so many bytes does a part of so many tasks take.
 std::size_t done_bytes(const std::string &job, std::size_t tasks);
 std::vector<done_part> parse_done(const std::string &value);
+
+// The record of jobs that fail wherever they run.
+std::string encode_suspects(const std::vector<std::string> &jobs);
+std::vector<std::string> parse_suspects(const std::string &value);
+// What one more job adds to the record, at most; an empty name: the record without jobs.
+std::size_t suspects_bytes(const std::string &job);
 struct leader_record {
     std::string node, incarnation;
     std::uint64_t raise = 0; // counts the raises of the token within one leadership
--- /dev/null
+++ b/src/workers/failure_ledger.cpp
@@ -0,0 +1,159 @@
+#include "workers/failure_ledger.hpp"
+#include "constants.hpp"
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace spindlecroft::workers {
+
+namespace c = constants;
+
+bool failure_ledger::attempt_failed(const failure &f, double now) {
+    auto &machine = machines_[f.machine];
+    if (f.job_runs) {
+        faulty_.insert(f.machine);
+        return false;
+    }
+    auto &job = jobs_[f.job];
+    job.failed_at[f.machine] = now;
+    job.longest_run_s = std::max(job.longest_run_s, f.ran_s);
+    if (job.suspect) {
+        delay_retry(job, now);
+        return false;
+    }
+    if (job.failed_at.size() >= c::suspect_machines) {
+        make_suspect(f.job, job, now);
+        return true;
+    }
+    machine.undecided.insert(f.job);
+    machine.probation_until = now + c::probation_s;
+    if (machine.undecided.size() >= c::undecided_jobs)
+        faulty_.insert(f.machine);
+    return false;
+}
+
+void failure_ledger::make_suspect(const std::string &job, job_entry &entry, double now) {
+    entry.suspect = true;
+    delay_retry(entry, now);
+    acquit_machines(job, entry);
+}
+
+// Guards against healthy machines that are given back because faulty jobs met on them.
+void failure_ledger::acquit_machines(const std::string &job, const job_entry &entry) {
+    for (auto &[machine, at] : entry.failed_at) {
+        auto i = machines_.find(machine);
+        if (i == machines_.end())
+            continue;
+        i->second.undecided.erase(job);
+        if (i->second.undecided.empty())
+            i->second.probation_until = 0;
+    }
+}
+
+void failure_ledger::delay_retry(job_entry &entry, double now) {
+    if (now < entry.retry_at)
+        return; // of the same wave of attempts
+    double pause = c::job_backoff_s * std::pow(2.0, std::min(entry.suspect_failures, 10));
+    entry.retry_at = now + std::min(pause, c::job_backoff_max_s);
+    ++entry.suspect_failures;
+}
+
+void failure_ledger::machine_ran(const std::string &machine, double created_at) {
+    auto found = machines_.find(machine);
+    if (found == machines_.end())
+        return; // nothing failed there
+    auto &entry = found->second;
+    entry.ran_at = std::max(entry.ran_at, created_at);
+    for (auto i = entry.undecided.begin(); i != entry.undecided.end();) {
+        auto job = jobs_.find(*i);
+        bool older = job == jobs_.end() || job->second.failed_at[machine] < created_at;
+        i = older ? entry.undecided.erase(i) : std::next(i);
+    }
+    if (entry.undecided.empty())
+        entry.probation_until = 0;
+}
+
+void failure_ledger::job_ran(const std::string &job) {
+    auto i = jobs_.find(job);
+    if (i == jobs_.end())
+        return;
+    for (auto &[machine, failed_at] : i->second.failed_at) {
+        auto m = machines_.find(machine);
+        bool ran_since = m != machines_.end() && m->second.ran_at > failed_at;
+        if (!ran_since)
+            faulty_.insert(machine);
+    }
+    acquit_machines(job, i->second);
+    jobs_.erase(i);
+}
+
+void failure_ledger::forget_job(const std::string &job) {
+    auto i = jobs_.find(job);
+    if (i == jobs_.end())
+        return;
+    acquit_machines(job, i->second);
+    jobs_.erase(i);
+}
+
+void failure_ledger::forget_machine(const std::string &machine) {
+    machines_.erase(machine);
+    faulty_.erase(machine);
+}
+
+std::set<std::string> failure_ledger::take_faulty() {
+    return std::exchange(faulty_, {});
+}
+
+bool failure_ledger::is_suspect(const std::string &job) const {
+    auto i = jobs_.find(job);
+    return i != jobs_.end() && i->second.suspect;
+}
+
+bool failure_ledger::failed_on(const std::string &job, const std::string &machine) const {
+    auto i = jobs_.find(job);
+    return i != jobs_.end() && i->second.failed_at.count(machine) > 0;
+}
+
+std::size_t failure_ledger::failed_machines(const std::string &job) const {
+    auto i = jobs_.find(job);
+    return i == jobs_.end() ? 0 : i->second.failed_at.size();
+}
+
+double failure_ledger::retry_at(const std::string &job) const {
+    auto i = jobs_.find(job);
+    return i == jobs_.end() ? 0 : i->second.retry_at;
+}
+
+double failure_ledger::probation_until(const std::string &machine) const {
+    auto i = machines_.find(machine);
+    return i == machines_.end() ? 0 : i->second.probation_until;
+}
+
+double failure_ledger::proof_s(const std::string &job) const {
+    auto i = jobs_.find(job);
+    double failed_s = i == jobs_.end() ? 0 : i->second.longest_run_s;
+    return c::proof_least_s + c::proof_runs * failed_s;
+}
+
+std::vector<std::string> failure_ledger::unproven_jobs() const {
+    std::vector<std::string> out;
+    for (auto &[job, entry] : jobs_)
+        out.push_back(job);
+    return out;
+}
+
+std::vector<std::string> failure_ledger::suspects() const {
+    std::vector<std::string> out;
+    for (auto &[job, entry] : jobs_)
+        if (entry.suspect)
+            out.push_back(job);
+    return out;
+}
+
+void failure_ledger::load_suspect(const std::string &job, double now) {
+    auto &entry = jobs_[job];
+    entry.suspect = true;
+    delay_retry(entry, now);
+}
+
+} // namespace spindlecroft::workers
--- /dev/null
+++ b/src/workers/failure_ledger.hpp
@@ -0,0 +1,75 @@
+// Tells faulty machines from faulty jobs by where attempts fail. Pure: no I/O, time comes in.
+//
+// One failed attempt is the fault of the machine or of the job, and does not say which. A job that
+// runs on another machine proves the machine faulty. A job that fails on two machines and runs on
+// none is suspect: its failures say nothing about machines, and it is retried one task at a time.
+#pragma once
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spindlecroft::workers {
+
+class failure_ledger {
+  public:
+    struct failure {
+        std::string job, machine;
+        double ran_s = 0;      // how long the attempt was seen running
+        bool job_runs = false; // the job is known to run on other machines
+    };
+    // Returns true if this made the job suspect.
+    bool attempt_failed(const failure &f, double now);
+    // An attempt placed at created_at was seen running on, or completed by, the machine.
+    void machine_ran(const std::string &machine, double created_at);
+    // The job is known to run. Machines on which it failed, and which ran nothing since, are
+    // faulty.
+    void job_ran(const std::string &job);
+    void forget_job(const std::string &job);
+    void forget_machine(const std::string &machine);
+
+    // Machines found faulty since the last call.
+    std::set<std::string> take_faulty();
+
+    bool is_suspect(const std::string &job) const;
+    bool failed_on(const std::string &job, const std::string &machine) const;
+    // On how many machines the job failed.
+    std::size_t failed_machines(const std::string &job) const;
+    // The time before which a suspect job is not retried.
+    double retry_at(const std::string &job) const;
+    // While it is not known whose fault a failure was, the machine gets no new work until then.
+    // 0: it is on no probation.
+    double probation_until(const std::string &machine) const;
+    // An attempt that runs for longer than this shows that the job works.
+    double proof_s(const std::string &job) const;
+    // Jobs with a failure that do not count as working, to be looked at from time to time.
+    std::vector<std::string> unproven_jobs() const;
+
+    // The suspect jobs survive a change of leader in a record.
+    std::vector<std::string> suspects() const;
+    void load_suspect(const std::string &job, double now);
+
+  private:
+    struct job_entry {
+        std::map<std::string, double> failed_at; // by machine
+        double longest_run_s = 0;
+        double retry_at = 0;
+        int suspect_failures = 0;
+        bool suspect = false;
+    };
+    struct machine_entry {
+        std::set<std::string> undecided; // jobs that failed there and are neither suspect nor run
+        double probation_until = 0;
+        double ran_at = 0; // creation of the latest attempt that ran there
+    };
+    void make_suspect(const std::string &job, job_entry &entry, double now);
+    void acquit_machines(const std::string &job, const job_entry &entry);
+    static void delay_retry(job_entry &entry, double now);
+
+    std::map<std::string, job_entry> jobs_;
+    std::map<std::string, machine_entry> machines_;
+    std::set<std::string> faulty_;
+};
+
+} // namespace spindlecroft::workers
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -65,10 +65,10 @@
 
     double speed = 1.0; // measured, relative to what was expected
     int speed_samples = 0;
-    std::set<std::string> error_jobs; // jobs that failed here since the last success
     bool quarantined = false;
     double idle_since = 0;
-    double refused_until = 0; // a start was refused for lack of room
+    double refused_until = 0;   // a start was refused for lack of room
+    double probation_until = 0; // an attempt failed, and it is open whose fault it was
 
     bool command_may_come() const {
         return commands_open > 0 ||
@@ -82,6 +82,8 @@
     bool usable() const {
         return !deleting && !quarantined && doomed_at < 0 && known_type && deaf_since < 0;
     }
+    // Whether it may be given new work at this time.
+    bool takes_work(double now) const { return now >= refused_until && now >= probation_until; }
     void touch() { changed = startable = true; }
     void use_image(const std::string &image, double gb, double now);
 };
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -93,7 +93,8 @@
                     for (auto &t : wire::parse_placed(o.value))
                         line += fmt::format(" [{}/{} on {} attempt {}]", t.job, t.index, t.machine,
                                             show(t.attempt));
-                else if (w.kind == control::write_kind::done)
+                else if (w.kind == control::write_kind::done ||
+                         w.kind == control::write_kind::suspects)
                     line += " " + o.value;
                 else if (w.kind == control::write_kind::job_end && !o.value.empty())
                     line += std::string(" ") +
@@ -290,6 +291,8 @@
             core->load_placed(key.substr(2), wire::parse_placed(value), now);
         else if (key.rfind("m/", 0) == 0)
             core->load_rental(key.substr(2), wire::parse_rental_record(value), now);
+        else if (key == control::suspects_key)
+            core->load_suspects(wire::parse_suspects(value), now);
     }
 };
 
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -82,6 +82,7 @@
     std::vector<std::string> broken;
     int starts = 0, leaders = 0, copies = 0, late_writes = 0, by_name = 0, at_end = 0;
     std::map<std::string, double> waits_since; // with room and allowance there
+    std::map<std::string, int> vain_starts;    // of jobs that fail everywhere
     bool calm = false;
 
     double real(double a, double b) {
@@ -101,9 +102,23 @@
     // --- workers, by the page that describes them ---
     std::map<std::string, job_spec> uploaded;
 
+    // Submitted with a mistake: every attempt fails, wherever it runs.
+    static bool fails_everywhere(const std::string &job) {
+        return std::stoi(job.substr(job.find('-') + 1)) % 8 == 0;
+    }
+
+    // A healthy machine is not blamed for jobs that fail everywhere.
+    void check_blame() {
+        for (auto &[name, m] : core->machines())
+            if (m.quarantined && !workers.at(name).faulty)
+                breaks("quarantined though healthy: " + name);
+    }
+
     void check_start(worker &w, const std::string &job, std::uint32_t index,
                      std::uint64_t attempt) {
         ++starts;
+        if (fails_everywhere(job))
+            ++vain_starts[job];
         auto &s = uploaded.at(job);
         auto key = std::make_pair(job, index);
         for (auto &[n, other] : workers)
@@ -171,7 +186,7 @@
                     x.state = task_state::running;
                     x.until =
                         now + (uploaded.at(o.job).shape == job_shape::service ? 1e9 : real(3, 25));
-                    if (w.faulty && !calm) {
+                    if ((w.faulty && !calm) || fails_everywhere(o.job)) {
                         x.until = now + 0.5;
                         x.cause = exit_cause::error;
                     }
@@ -493,6 +508,8 @@
                     core->load_placed(key.substr(2), wire::parse_placed(value), now);
                 if (pass == 1 && key[0] == 'm')
                     core->load_rental(key.substr(2), wire::parse_rental_record(value), now);
+                if (pass == 1 && key == control::suspects_key)
+                    core->load_suspects(wire::parse_suspects(value), now);
             }
         core->loaded(now);
     }
@@ -676,7 +693,7 @@
                 outage_until = blind_until = 0;
                 std::vector<std::string> services;
                 for (auto &[id, r] : jobs)
-                    if (r.job.spec.shape == job_shape::service)
+                    if (r.job.spec.shape == job_shape::service || fails_everywhere(id))
                         services.push_back(id);
                 for (auto &id : services)
                     cancel(id);
@@ -719,6 +736,7 @@
             }
             if (core) {
                 lead();
+                check_blame();
                 if (now >= next_list) {
                     next_list = now + 5;
                     std::vector<host> hosts;
@@ -750,6 +768,11 @@
     EXPECT_GT(w.leaders, 1);
     EXPECT_GT(w.copies, 10);
     EXPECT_GT(w.late_writes, 0);
+    // One wave of all tasks, then a trickle; a leader that ends before its record of them is
+    // written costs another wave.
+    EXPECT_FALSE(w.vain_starts.empty());
+    for (auto &[id, count] : w.vain_starts)
+        EXPECT_LE(count, 60) << id;
     // Forgotten: whatever was accepted is known for ever, as active or as ended.
     for (auto &[id, s] : w.uploaded)
         EXPECT_TRUE(w.jobs.count(id) || w.ended.count(id)) << id;
