A controller that stood still sends nothing it is not entitled to; unknown ids cost one read

Entitlement was checked before a connection was made or the state service's limit waited for; a leader that stood still there could send commands, cloud calls (deletions of machines that the next leader uses), votes and transactions on waking. The permission is now asked right before the first byte; a start is not sent either once its job is cancelled. A question about a job that nobody submitted cost a request at the state service each time; the watch now keeps such ids known as absent, and reads under way are bounded, with 503 at once beyond.

--- a/src/catalog/job_cache.cpp
+++ b/src/catalog/job_cache.cpp
@@ -39,12 +39,31 @@
     }
 }
 
+// Guards against users who ask again and again about jobs that nobody submitted: each question
+// would cost a request at the state service. The watch tells of every job that is submitted later.
+// A read older than the cache says nothing about what the cache has seen since.
+void job_cache::remember_absent(const std::string &id, std::uint64_t revision) {
+    if (revision < revision_ || active_.count(id) || !absent_.insert(id).second)
+        return;
+    absent_order_.push_back(id);
+    if (absent_order_.size() > c::absent_in_memory) {
+        absent_.erase(absent_order_.front());
+        absent_order_.pop_front();
+    }
+}
+
 awaitable<std::optional<std::optional<wire::ended_record>>> job_cache::read_ended(std::string id) {
-    auto i = co_await state_.get(control::ended_key(id), store::urgency::accept);
+    if (ended_reads_ >= c::ended_reads)
+        co_return std::nullopt;
+    ++ended_reads_;
+    auto i = co_await state_.get(control::ended_key(id), store::urgency::done);
+    --ended_reads_;
     if (!i)
         co_return std::nullopt;
-    if (!i->found)
+    if (!i->found) {
+        remember_absent(id, i->at.revision);
         co_return std::optional<std::optional<wire::ended_record>>(std::in_place, std::nullopt);
+    }
     try {
         auto r = wire::parse_ended(i->kv.value);
         remember(id, r);
@@ -69,6 +88,8 @@
         }
     }
     active_ = std::move(fresh);
+    absent_.clear(); // changes were missed
+    absent_order_.clear();
     revision_ = a->revision;
     loaded_ = true;
     reload_ = false;
@@ -90,6 +111,7 @@
         try {
             if (i.key.starts_with(active)) {
                 auto id = i.key.substr(active.size());
+                absent_.erase(id);
                 if (i.value.empty()) {
                     active_.erase(id);
                 } else {
@@ -172,7 +194,8 @@
             co_return false;
         co_await served_.wait_for(left);
     }
-    co_return !stopping_;
+    // Guards against an answer from before the process stood still.
+    co_return !stopping_ && now_s() <= limit;
 }
 
 } // namespace spindlecroft::catalog
--- a/src/catalog/job_cache.hpp
+++ b/src/catalog/job_cache.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace spindlecroft::catalog {
 
@@ -32,8 +33,11 @@
     const cached_job *active(const std::string &id) const;
     std::optional<wire::ended_record> ended(const std::string &id) const;
     // Reads the ended record of a job that is neither active nor at hand.
-    // Nothing: could not be read. Holds nothing: there is none.
+    // Nothing: could not be read, or too many such reads are under way. Holds nothing: there is
+    // none.
     net::awaitable<std::optional<std::optional<wire::ended_record>>> read_ended(std::string id);
+    // Nobody has submitted such a job, as of the cache's revision: no read is needed to tell.
+    bool known_absent(const std::string &id) const { return absent_.count(id) > 0; }
     const std::map<std::string, cached_job> &all() const { return active_; }
     bool loaded() const { return loaded_; }
     std::uint64_t revision() const { return revision_; }
@@ -46,11 +50,15 @@
     net::awaitable<bool> load();
     void apply(const wire::range_answer &a);
     void remember(const std::string &id, const wire::ended_record &r);
+    void remember_absent(const std::string &id, std::uint64_t revision);
     net::asio::io_context &io_;
     store::state_client &state_;
     std::map<std::string, cached_job> active_;
     std::unordered_map<std::string, wire::ended_record> ended_;
     std::deque<std::string> ended_order_;
+    std::unordered_set<std::string> absent_;
+    std::deque<std::string> absent_order_; // oldest first; may name some that are not in the set
+    std::size_t ended_reads_ = 0;          // under way
     std::uint64_t revision_ = 0;
     double fresh_at_ = -1e9;
     bool loaded_ = false, stopping_ = false, reload_ = false, prompt_ = false;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -103,6 +103,10 @@
     2.0; // s; between two searches for placement records that ended
 inline constexpr std::size_t rentals_per_record = 16; // requests; about 1.5 KiB
 inline constexpr std::size_t ended_in_memory = 4000;  // ended jobs whose state is kept at hand
+inline constexpr std::size_t absent_in_memory =
+    4000; // ids that nobody submitted, kept at hand; about 0.5 MB
+inline constexpr std::size_t ended_reads =
+    32; // reads under way for questions about single jobs; beyond it users get 503 at once
 
 // --- workers ---
 inline constexpr double worker_patience_s = 4.0; // s; a worker drops an answer that comes later
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -250,6 +250,8 @@
         co_return result(s);
     }
     auto e = cache_.ended(id);
+    if (!e && cache_.known_absent(id))
+        co_return result(std::in_place, std::nullopt);
     if (!e) {
         auto read = co_await cache_.read_ended(id);
         if (!read)
@@ -730,8 +732,9 @@
     // more: it would delete machines that the next one uses.
     if (!in_charge(l))
         co_return net::reply{};
+    net::permission permitted = [this, l] { return in_charge(l); };
     auto r = co_await cloud_.call(std::move(method), std::move(target), std::move(body),
-                                  c::cloud_timeout_s);
+                                  c::cloud_timeout_s, false, std::move(permitted));
     if (r.how == net::outcome::answered && r.status == 429)
         cloud_budget_.drain();
     co_return r;
@@ -853,9 +856,14 @@
             l->core->command_resolved(machine);
         co_return;
     }
-    auto a =
-        co_await client->call("POST", wire::path_commands,
-                              wire::encode_commands(token, session, orders), c::worker_timeout_s);
+    // Guards against a start that is sent after its job was cancelled, or by a leader that stood
+    // still while it connected.
+    net::permission permitted = [this, l, starts, &orders] {
+        return in_charge(l) && (!starts || (may_renew(now_s()) && l->core->starts_wanted(orders)));
+    };
+    auto a = co_await client->call("POST", wire::path_commands,
+                                   wire::encode_commands(token, session, orders),
+                                   c::worker_timeout_s, false, std::move(permitted));
     // Guards against commands to a large fleet that use up the sockets its reports need.
     if (l->workers.size() > sockets_.commands && client.use_count() == 2)
         l->workers.erase(address);
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -829,6 +829,18 @@
     return out;
 }
 
+bool engine::starts_wanted(const std::vector<order> &orders) const {
+    return std::all_of(orders.begin(), orders.end(), [&](const order &o) {
+        if (o.kind != order_kind::start)
+            return true;
+        auto *j = find_job(o.job);
+        if (!j || j->over())
+            return false;
+        auto a = j->live.find(o.index);
+        return a != j->live.end() && a->second.number == o.attempt && !a->second.stop_wanted;
+    });
+}
+
 void engine::command_resolved(const std::string &machine) {
     if (auto i = machines_.find(machine); i != machines_.end() && i->second.commands_open > 0)
         --i->second.commands_open;
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -106,6 +106,8 @@
     // Orders for a direct command; marks the machine until the command is resolved.
     std::vector<order> orders_in_command(const std::string &machine, double now,
                                          bool starts = true);
+    // Whether every start among the orders is still wanted.
+    bool starts_wanted(const std::vector<order> &orders) const;
     void command_resolved(const std::string &machine);
     void command_unresolved(const std::string &machine, std::uint64_t token, std::uint64_t session);
     void on_types(std::vector<machine_type> types);
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -141,8 +141,12 @@
         m.numbers["cancels_revision"] = question.revision;
     }
     double sent = now_s();
-    auto r =
-        co_await p.client->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s, true);
+    // Guards against a leader that stood still and then binds the others' votes to itself.
+    net::permission permitted = [this, candidacy, candidate] {
+        return candidacy == candidacy_ && (candidate || authority_.valid(now_s()));
+    };
+    auto r = co_await p.client->call("POST", "/member", wire::encode_peer(m), c::peer_timeout_s,
+                                     true, std::move(permitted));
     p.busy = false;
     if (!r.ok())
         co_return;
@@ -307,7 +311,8 @@
     auto value = wire::encode_leader({settings_.node, incarnation_, 0});
     std::vector<txn_condition> when{{leader_key, 0}};
     std::vector<txn_op> ops{{leader_key, value, *lease}};
-    auto t = co_await state_.commit(when, ops, store::urgency::leadership);
+    net::permission permitted = [this] { return authority_.majority(now_s()); };
+    auto t = co_await state_.commit(when, ops, store::urgency::leadership, std::move(permitted));
     std::uint64_t version = 0;
     if (t.how == store::txn_outcome::committed) {
         version = t.revision;
@@ -367,7 +372,8 @@
     auto value = wire::encode_leader({settings_.node, incarnation_, raises_ + 1});
     std::vector<txn_condition> when{{leader_key, token_}};
     std::vector<txn_op> ops{{leader_key, value, lease_}};
-    auto t = co_await state_.commit(when, ops, store::urgency::leadership);
+    net::permission permitted = [this] { return leading(); };
+    auto t = co_await state_.commit(when, ops, store::urgency::leadership, std::move(permitted));
     std::uint64_t version = 0;
     if (t.how == store::txn_outcome::committed) {
         version = t.revision; // its condition held, so nothing raised the token meanwhile
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -139,7 +139,7 @@
 client::~client() = default;
 
 awaitable<reply> client::call(std::string method, std::string target, std::string body,
-                              double timeout_s, bool cbor) {
+                              double timeout_s, bool cbor, permission permitted) {
     reply r;
     used_at_ = now_s();
     boost::system::error_code ec;
@@ -169,6 +169,12 @@
             out.body() = body;
         }
         out.prepare_payload();
+        // Guards against a process that stood still while it connected and acts on old knowledge.
+        if (permitted && !permitted()) {
+            r.how = outcome::not_sent;
+            keep_idle(std::move(c));
+            co_return r;
+        }
         c->stream.expires_at(deadline);
         co_await http::async_write(c->stream, out, asio::redirect_error(asio::use_awaitable, ec));
         http::response_parser<http::string_body> parser;
@@ -192,11 +198,16 @@
         r.status = static_cast<int>(parser.get().result_int());
         bool keep = parser.get().keep_alive();
         r.body = std::move(parser.get().body());
-        c->stream.expires_never();
-        if (keep && idle_.size() < idle_limit_)
-            idle_.push_back(std::move(c));
+        if (keep)
+            keep_idle(std::move(c));
         co_return r;
     }
 }
 
+void client::keep_idle(std::unique_ptr<connection> c) {
+    c->stream.expires_never();
+    if (idle_.size() < idle_limit_)
+        idle_.push_back(std::move(c));
+}
+
 } // namespace spindlecroft::net
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -65,17 +65,24 @@
     bool ok() const { return how == outcome::answered && status == 200; }
 };
 
+// Whether a request may still be sent. Asked right before its first byte goes out. Name the object
+// before the co_await that takes it: GCC 12 destroys a lambda with captures twice when it is made
+// within the expression.
+using permission = std::function<bool()>;
+
 // A client for one host. Any number of requests may be open; finished connections are kept.
 class client {
   public:
     client(asio::io_context &io, const settings::address &to, std::size_t idle);
     ~client();
+    // A request that is not permitted any more counts as not sent.
     awaitable<reply> call(std::string method, std::string target, std::string body,
-                          double timeout_s, bool cbor = false);
+                          double timeout_s, bool cbor = false, permission permitted = {});
     double used_at() const { return used_at_; } // s; when it was last called
 
   private:
     struct connection;
+    void keep_idle(std::unique_ptr<connection> c);
     asio::io_context &io_;
     settings::address to_;
     std::size_t idle_limit_;
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -125,6 +125,10 @@
     waiting_.clear();
 }
 
+bool committer::permitted() const {
+    return !stopping_ && (!fence || fence());
+}
+
 awaitable<void> committer::send(std::vector<unit> batch) {
     while (!batch.empty()) {
         std::optional<txn_condition> fence_now;
@@ -162,7 +166,8 @@
         bool unsure = false;
         auto kept = (batch.size() + 1) / 2; // units that stay after a refusal
         for (;;) {
-            auto t = co_await state_.commit(conditions, ops, rank);
+            net::permission may_send = [this] { return permitted(); };
+            auto t = co_await state_.commit(conditions, ops, rank, std::move(may_send));
             if (t.how == txn_outcome::committed) {
                 for (auto &u : batch)
                     if (u.owned)
@@ -176,7 +181,7 @@
             if (t.how == txn_outcome::unknown) {
                 unsure = true;
                 co_await net::sleep_s(c::state_retry_s);
-                if (stopping_ || (fence && !fence())) {
+                if (!permitted()) {
                     for (auto &u : batch)
                         if (u.result)
                             u.result(unit_outcome::lost, 0);
@@ -186,7 +191,7 @@
             }
             if (t.how == txn_outcome::refused) {
                 co_await net::sleep_s(c::state_retry_s);
-                if (stopping_ || (fence && !fence())) {
+                if (!permitted()) {
                     for (auto &u : batch)
                         if (u.result)
                             u.result(unit_outcome::lost, 0);
@@ -237,7 +242,7 @@
                             applied_at = i->found ? i->kv.version : 0;
                             break;
                         }
-                        if (stopping_ || (fence && !fence())) {
+                        if (!permitted()) {
                             for (auto &u : batch)
                                 if (u.result)
                                     u.result(unit_outcome::lost, 0);
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -43,6 +43,7 @@
 
   private:
     net::awaitable<void> send(std::vector<unit> batch);
+    bool permitted() const; // to send a transaction now
     static void drop_given_up(auto &units, double now);
     void note(const txn_op &o, std::uint64_t revision);
     net::asio::io_context &io_;
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -86,11 +86,13 @@
 }
 
 awaitable<net::reply> state_client::call(std::string method, std::string target, std::string body,
-                                         double timeout, urgency u, double writes) {
+                                         double timeout, urgency u, double writes,
+                                         net::permission permitted) {
     co_await admit(u, writes);
     ++requests;
     this->writes += static_cast<std::uint64_t>(writes);
-    auto r = co_await client_.call(std::move(method), std::move(target), std::move(body), timeout);
+    auto r = co_await client_.call(std::move(method), std::move(target), std::move(body), timeout,
+                                   false, std::move(permitted));
     if (r.how == net::outcome::answered) {
         if (r.status == 429) {
             requests_.drain();
@@ -174,10 +176,10 @@
 }
 
 awaitable<txn_result> state_client::commit(std::vector<txn_condition> when, std::vector<txn_op> ops,
-                                           urgency u) {
+                                           urgency u, net::permission permitted) {
     auto n = static_cast<double>(ops.size());
-    auto r =
-        co_await call("POST", "/commit", wire::encode_txn(when, ops), c::state_timeout_s, u, n);
+    auto r = co_await call("POST", "/commit", wire::encode_txn(when, ops), c::state_timeout_s, u, n,
+                           std::move(permitted));
     txn_result t;
     if (r.how == net::outcome::not_sent) {
         t.how = txn_outcome::refused;
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -64,8 +64,10 @@
     // status 410: nothing, with gone set.
     virtual net::awaitable<std::optional<wire::range_answer>>
     watch(std::string prefix, std::uint64_t since, int hold_ms, urgency u, bool &gone);
+    // permitted: asked right before the transaction is sent; if not, it counts as refused.
     virtual net::awaitable<txn_result> commit(std::vector<txn_condition> when,
-                                              std::vector<txn_op> ops, urgency u);
+                                              std::vector<txn_op> ops, urgency u,
+                                              net::permission permitted = {});
     virtual net::awaitable<std::optional<std::uint64_t>> new_lease(double ttl_s);
     enum class renewal { ok, ended, unsure };
     virtual net::awaitable<renewal> renew(std::uint64_t lease);
@@ -81,7 +83,8 @@
   private:
     net::awaitable<void> admit(urgency u, double writes);
     net::awaitable<net::reply> call(std::string method, std::string target, std::string body,
-                                    double timeout, urgency u, double writes = 0);
+                                    double timeout, urgency u, double writes = 0,
+                                    net::permission permitted = {});
     net::client client_;
     const settings::settings &settings_;
     budget requests_, writes_;
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -41,6 +41,7 @@
     std::map<std::uint64_t, std::pair<double, double>> loans; // length, end; s
     std::uint64_t ledger = 100, loan_count = 0;
     bool outage = false;
+    std::size_t ended_reads = 0; // of single jobs' ended records
     std::vector<bool> refused = std::vector<bool>(3);
     std::vector<std::unique_ptr<net::server>> doors;
 
@@ -126,6 +127,7 @@
         }
         if (path.starts_with("/kv/")) {
             auto i = keys.find(path.substr(4));
+            ended_reads += path.starts_with("/kv/j/e/");
             if (i == keys.end())
                 co_return say(404, {{"ledger", ledger}});
             json::object o{{"key", i->first}, {"data", i->second.data}, {"mark", i->second.mark}};
@@ -422,6 +424,24 @@
     }
 }
 
+// Questions about a job that nobody submitted cost one read, and are answered anew at once when
+// somebody does.
+TEST(controllers, ask_once_about_a_job_that_nobody_submitted) {
+    cluster c;
+    ASSERT_TRUE(c.ready());
+    c.run(1); // the election is over
+    ASSERT_EQ(c.poll(0, "job-7"), "404");
+    auto before = c.state.ended_reads;
+    for (int k = 0; k < 5; ++k)
+        EXPECT_EQ(c.poll(0, "job-7"), "404");
+    EXPECT_EQ(c.state.ended_reads, before);
+    ASSERT_EQ(c.submit(1, submission("job-7")), 201);
+    EXPECT_EQ(c.poll(0, "job-7"), "200 pending");
+    EXPECT_EQ(c.cancel(2, "job-7"), "200 aborted");
+    EXPECT_EQ(c.poll(0, "job-7"), "200 aborted");
+    EXPECT_EQ(c.poll(0, "job-8"), "404");
+}
+
 // While the machine types are unknown nobody can tell whether a job can run; a malformed one is
 // malformed all the same.
 TEST(controllers, before_the_machine_types_are_known) {
--- a/tests/state_stand_in.hpp
+++ b/tests/state_stand_in.hpp
@@ -22,6 +22,8 @@
     };
     std::deque<fate> next_commits; // of the transactions to come; then all are answered
     bool outage = false;
+    // Called between the decision to send a transaction and its sending.
+    std::function<void()> stand_still;
     std::size_t commits = 0;
 
     struct stored {
@@ -41,9 +43,14 @@
     }
 
     net::awaitable<store::txn_result> commit(std::vector<txn_condition> when,
-                                             std::vector<txn_op> ops, store::urgency) override {
-        ++commits;
+                                             std::vector<txn_op> ops, store::urgency,
+                                             net::permission permitted) override {
         co_await net::sleep_s(0.001);
+        if (stand_still)
+            stand_still();
+        if (permitted && !permitted())
+            co_return store::txn_result{store::txn_outcome::refused, 0, {}, ""};
+        ++commits;
         auto how = fate::answered;
         if (!next_commits.empty()) {
             how = next_commits.front();
