--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -190,6 +190,8 @@
 inline constexpr double drain_target_s = 8.0; // s; waiting work should start within this
 inline constexpr double ordinary_patience =
     5.0; // ratio; at most so much longer waits spot work before ordinary machines
+inline constexpr double rental_use_s =
+    120.0; // s; a machine is used for about so long, which its boot time adds to
 inline constexpr double idle_least_s = 15.0; // s; an idle machine is kept at least this long
 inline constexpr double idle_boots =
     1.2; // boot times; an idle machine is kept as long as its boot cost
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -40,7 +40,8 @@
             if (asked != asked_.end() && asked->second >= c::hosts_per_request &&
                 sold_out_.count(key))
                 continue;
-            double per_slot = price / slots;
+            // Boot time is paid for and waited for.
+            double per_slot = price / slots * (1 + t.boot_s / c::rental_use_s);
             if (!best || per_slot < best->price_per_slot * 0.999)
                 best = rental_offer{&t, z, spot, slots, per_slot};
         }
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,67 @@
+// Which machines are rented.
+#include "control/engine.hpp"
+#include "trace_runner.hpp"
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace spindlecroft;
+
+namespace {
+
+wire::job_record array_of(std::uint32_t tasks) {
+    wire::job_record r;
+    r.spec = test::small_job("job-1");
+    r.spec.tasks = tasks;
+    r.spec.estimate_s = 100;
+    return r;
+}
+
+} // namespace
+
+// Thousands of machines are wished for and none is to be had: the first wish may come as many
+// requests for an offer, each later one as a single request.
+TEST(fleet, one_request_asks_for_what_is_sold_out) {
+    control::engine core(test::small_settings(), test::small_types());
+    core.begin(0, 5, 0);
+    core.loaded(0);
+    core.on_job("job-1", array_of(1000), 7, 0);
+    std::map<std::string, int> asked; // times that an offer was asked for
+    int at_first = 0, later = 0;
+    for (double now = 1; now < 200; now += 0.5) {
+        core.tick(now);
+        for (auto &w : core.take_writes(now))
+            core.on_written(w, true, 100, now);
+        std::map<std::string, int> now_asked;
+        for (auto &q : core.take_rentals(now)) {
+            ++now_asked[q.type + q.zone + (q.spot ? "spot" : "")];
+            core.on_rent_refused(q.request, now);
+        }
+        for (auto &[offer, n] : now_asked) {
+            auto &most = asked[offer]++ == 0 ? at_first : later;
+            most = std::max(most, n);
+        }
+    }
+    EXPECT_GE(at_first, 5);
+    EXPECT_EQ(later, 1);
+    EXPECT_GE(asked.at("smallaspot"), 5) << "it is asked for again";
+}
+
+// A machine is paid for while it boots, and what is rented for it waits: of two offers at the same
+// price per task the one that is up sooner is taken.
+TEST(fleet, boot_time_is_part_of_an_offers_price) {
+    for (double slow_boot : {30.0, 50.0}) {
+        auto types = test::small_types();
+        types[0].boot_s = slow_boot; // one slot
+        types[1].boot_s = 40;        // four slots for four times the price
+        control::engine core(test::small_settings(), types);
+        core.begin(0, 5, 0);
+        core.loaded(0);
+        core.on_job("job-1", array_of(1), 7, 0);
+        core.tick(3);
+        for (auto &w : core.take_writes(3))
+            core.on_written(w, true, 100, 3);
+        auto rentals = core.take_rentals(3);
+        ASSERT_EQ(rentals.size(), 1u);
+        EXPECT_EQ(rentals[0].type, slow_boot < 40 ? "small" : "large");
+    }
+}
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -505,38 +505,6 @@
                   {2, 1}, {1, 2}, {0, all_tasks}, {2, all_tasks}, {1, all_tasks}}));
 }
 
-// Thousands of machines are wished for and none is to be had: the first wish may come as many
-// requests for an offer, each later one as a single request.
-TEST(fleet, one_request_asks_for_what_is_sold_out) {
-    control::engine core(test::small_settings(), test::small_types());
-    core.begin(0, 5, 0);
-    core.loaded(0);
-    wire::job_record r;
-    r.spec = test::small_job("job-1");
-    r.spec.tasks = 1000;
-    r.spec.estimate_s = 100;
-    core.on_job("job-1", r, 7, 0);
-    std::map<std::string, int> asked; // times that an offer was asked for
-    int at_first = 0, later = 0;
-    for (double now = 1; now < 200; now += 0.5) {
-        core.tick(now);
-        for (auto &w : core.take_writes(now))
-            core.on_written(w, true, 100, now);
-        std::map<std::string, int> now_asked;
-        for (auto &q : core.take_rentals(now)) {
-            ++now_asked[q.type + q.zone + (q.spot ? "spot" : "")];
-            core.on_rent_refused(q.request, now);
-        }
-        for (auto &[offer, n] : now_asked) {
-            auto &most = asked[offer]++ == 0 ? at_first : later;
-            most = std::max(most, n);
-        }
-    }
-    EXPECT_GE(at_first, 5);
-    EXPECT_EQ(later, 1);
-    EXPECT_GE(asked.at("smallaspot"), 5) << "it is asked for again";
-}
-
 // Half as many machines again as the files show: their reports and the commands to them once took
 // every socket of the leader, which then heard nobody (simulated machines, a day of 2,250).
 TEST(sockets, commands_leave_room_for_reports) {
