--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -140,6 +140,12 @@
 inline constexpr double check_gap_s =
     0.3; // s; between two looks over all machines for leases, silence and late cancels
 inline constexpr double queue_limit_s = 20.0; // s; a worker queue holds this much estimated work
+inline constexpr std::size_t queue_tasks =
+    6; // tasks; so many wait at most in a worker queue, however short they are
+inline constexpr int bids_per_round =
+    2000; // bids; a round stops there and goes on in the next, so that reports are answered between
+inline constexpr double pump_rest =
+    1.0; // ratio; after a round the leader answers for as long as the round took
 inline constexpr double idle_rebid_s = 1.0;   // s; a machine idle for this long has tasks bid again
 inline constexpr double speed_gain = 0.15; // weight of the newest measurement of a machine's speed
 inline constexpr double class_gain = 0.1; // weight of the newest measurement of a class's estimates
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -716,7 +716,8 @@
                          l->commits.waiting(), l->records.waiting(), l->reports, l->commands);
             l->reports = l->commands = 0;
         }
-        co_await net::sleep_s(0.02);
+        // Guards against rounds that follow one another while reports wait for their answers.
+        co_await net::sleep_s(std::max(0.02, c::pump_rest * (now_s() - now)));
         co_await l->wake.wait_for(0.2);
     }
     // Entitlement lapsed without a word: leave nothing running on old knowledge.
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -229,6 +229,10 @@
         expected, bidder::holds(b.cached, j.image) || bidder::holds(b.coming, j.image), b.fetches);
     if (offer.queued_s > c::queue_limit_s)
         return {};
+    // Guards against a leader that is busy with bids alone: the tasks of a large sweep fill every
+    // queue by the thousand, and all of them are bid again each second.
+    if (offer.queued_s > b.boot_s && b.m->queue.size() >= c::queue_tasks)
+        return {};
     round_bid r{&b, offer.finish_s(), preempting ? 0 : offer.queued_s, b.version};
     if (preempting)
         r.finish_s += c::preempt_cost_s;
@@ -444,6 +448,7 @@
     round.bidders = make_bidders(now);
     for (std::size_t i = 0; i < round.bidders.size(); ++i)
         round.bidders[i]->number = i;
+    int bids = 0;
     struct candidate {
         job_t *job;
         std::uint32_t most; // tasks in this turn
@@ -471,6 +476,10 @@
             list.assign(sorted.rbegin(), sorted.rend()); // served from the back
         }
         while (!teams.empty()) {
+            if (++bids > c::bids_per_round) {
+                dirty_ = true;
+                break;
+            }
             // Turn by shares: first whoever is within its guarantee, then who uses least for it.
             auto next = teams.end();
             std::pair<bool, double> key;
--- /dev/null
+++ b/tests/planning_test.cpp
@@ -0,0 +1,61 @@
+// Rounds of bids and worker queues at full size.
+#include "constants.hpp"
+#include "control/engine.hpp"
+#include "trace_runner.hpp"
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+using namespace spindlecroft;
+namespace c = constants;
+
+namespace {
+
+// Machines that have reported, and one array of short tasks that fits on none of them at once.
+struct sweep {
+    control::engine core{test::small_settings(), test::small_types()};
+    int machines;
+
+    sweep(int machine_count, std::uint32_t tasks) : machines(machine_count) {
+        core.begin(0, 5, 0);
+        core.loaded(0);
+        for (int k = 0; k < machines; ++k)
+            report(k, 1);
+        wire::job_record r;
+        r.spec = test::small_job("job-1");
+        r.spec.tasks = tasks;
+        r.spec.cpus = 0.25;
+        r.spec.memory_gb = 0.4;
+        r.spec.estimate_s = 4;
+        core.on_job("job-1", r, 7, 1);
+    }
+    void report(int k, std::uint64_t seq) {
+        auto name = fmt::format("i-{:03}", k);
+        core.on_report({name, "10.0.0.1:9000", "large", "a", false, 1, seq, 5, {}, {}}, 1);
+    }
+    std::size_t queued() const { return core.find_job("job-1")->queued.size(); }
+    std::size_t placed() const { return core.find_job("job-1")->live.size(); }
+};
+
+} // namespace
+
+// A sweep of 25,000 tasks once stood in the worker queues as a whole and was bid anew each second:
+// reports were answered too late and 659 tasks were killed by their lease.
+TEST(planning, short_tasks_do_not_fill_the_worker_queues) {
+    sweep s(10, 5000);
+    for (double now = 2; now < 12; now += 0.2)
+        s.core.tick(now);
+    EXPECT_EQ(s.placed(), 10u * 64) << "all that fits at once is placed";
+    EXPECT_GT(s.queued(), 0u);
+    EXPECT_LE(s.queued(), 10 * c::queue_tasks);
+}
+
+TEST(planning, a_round_is_bounded_and_the_next_goes_on) {
+    sweep s(60, 6000);
+    s.core.tick(2);
+    EXPECT_LE(s.placed() + s.queued(), static_cast<std::size_t>(c::bids_per_round));
+    s.core.tick(2.1);
+    EXPECT_GT(s.placed(), static_cast<std::size_t>(c::bids_per_round));
+    for (double now = 2.2; now < 4; now += 0.1)
+        s.core.tick(now);
+    EXPECT_EQ(s.placed(), 60u * 64);
+}
