--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -19,6 +19,8 @@
     }
     if (s.rank == priority::critical)
         critical.take(s);
+    if (s.rank != priority::low)
+        above_idle.take(s);
 }
 
 bool bidder::fetch(std::uint32_t image) {
@@ -135,7 +137,7 @@
     b.zone = m.zone;
     b.spot = m.spot;
     b.place = m.place;
-    b.free = b.critical = b.whole = {m.type.cpus, m.type.gpus, m.type.memory_gb};
+    b.free = b.critical = b.above_idle = b.whole = {m.type.cpus, m.type.gpus, m.type.memory_gb};
     b.work_s = 0;
     b.fetches = 0;
     b.cached.clear();
@@ -223,6 +225,11 @@
         preempting = !b.free.fits(s);
     } else if (!b.whole.fits(s)) {
         return {};
+    } else {
+        // Work of the lowest rank makes room where waiting for it would take longer.
+        bool waits =
+            b.boot_s <= 0 && !b.free.fits(s) && b.work_s > c::preempt_cost_s * b.whole.slots(s);
+        preempting = waits && s.rank != priority::low && b.above_idle.fits(s);
     }
     auto offer = bidding::make_bid(
         b.m->speed, b.type->fetch_gb_per_s, s, b.free, b.whole, preempting ? 0 : b.work_s, b.boot_s,
@@ -537,8 +544,9 @@
             continue;
         }
         if (!room.fits(j->spec)) {
-            // Work of lower rank makes room for critical work; the last to begin loses least.
-            if (t.rank != priority::critical || stopping)
+            // Work of lower rank makes room for critical work, and the lowest rank for all others;
+            // the last to begin loses least.
+            if (t.rank == priority::low || stopping)
                 return;
             std::sort(lower.begin(), lower.end(), [&](auto *a, auto *b) {
                 auto ra = job_of(a->task.job)->spec.rank, rb = job_of(b->task.job)->spec.rank;
@@ -549,7 +557,11 @@
             for (auto *a : lower) {
                 if (sum.fits(j->spec))
                     break;
-                sum.give(job_of(a->task.job)->spec);
+                auto &victim = *job_of(a->task.job);
+                if (t.rank != priority::critical &&
+                    (victim.spec.rank != priority::low || victim.live.size() <= 1))
+                    continue; // the last task of a job stays: it would not begin anew for long
+                sum.give(victim.spec);
                 victims.push_back(a);
             }
             if (!sum.fits(j->spec))
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -199,6 +199,13 @@
             if (f.count("zone"))
                 r.spec.zone = get(f, "zone", "");
             r.spec.image = get(f, "image", "img");
+            static const std::map<std::string, priority> ranks = {{"critical", priority::critical},
+                                                                  {"high", priority::high},
+                                                                  {"normal", priority::normal},
+                                                                  {"low", priority::low}};
+            r.spec.rank = ranks.at(get(f, "rank", "normal"));
+            r.spec.checkpoint_s = std::stod(get(f, "checkpoint", "0"));
+            r.spec.save_s = std::stod(get(f, "save", "0"));
             if (get(f, "shape", "array") == "service") {
                 r.spec.shape = job_shape::service;
                 r.spec.rank = priority::critical;
