--- a/apps/spindlecroft/main.cpp
+++ b/apps/spindlecroft/main.cpp
@@ -3,12 +3,13 @@
 #include "settings/settings.hpp"
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-int main(int argc, char **argv) {
+static int run(int argc, char **argv) {
     CLI::App app{"spindlecroft: a cluster scheduler's controller"};
     std::string config, operator_file;
     bool check = false;
@@ -40,22 +41,28 @@
         std::cout << "settings are valid\n";
         return 0;
     }
+    boost::asio::io_context io(1);
+    spindlecroft::control::controller controller(io, settings);
+    boost::asio::signal_set signals(io, SIGINT, SIGTERM);
+    signals.async_wait([&](auto ec, int) {
+        if (ec)
+            return;
+        spdlog::info("stopping");
+        controller.stop();
+        io.stop();
+    });
+    controller.start();
+    io.run();
+    return 0;
+}
+
+int main(int argc, char **argv) {
     try {
-        boost::asio::io_context io(1);
-        spindlecroft::control::controller controller(io, settings);
-        boost::asio::signal_set signals(io, SIGINT, SIGTERM);
-        signals.async_wait([&](auto ec, int) {
-            if (ec)
-                return;
-            spdlog::info("stopping");
-            controller.stop();
-            io.stop();
-        });
-        controller.start();
-        io.run();
+        return run(argc, argv);
     } catch (const std::exception &e) {
-        std::cerr << "spindlecroft: " << e.what() << "\n";
-        return 1;
+        std::fprintf(stderr, "spindlecroft: %s\n", e.what());
+    } catch (...) {
+        std::fputs("spindlecroft: unknown error\n", stderr);
     }
-    return 0;
+    return 1;
 }
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -6,16 +6,16 @@
 namespace spindlecroft::constants {
 
 // --- limits of the wire (PROTOCOL) ---
-inline constexpr std::size_t body_limit = 64 * 1024; // bytes; no request may be larger
-inline constexpr std::size_t line_limit = 64 * 1024; // bytes; no response line may be larger
+inline constexpr std::size_t body_limit = std::size_t{64} * 1024; // bytes; no request may be larger
+inline constexpr std::size_t line_limit = std::size_t{64} * 1024; // bytes; no response line may be larger
 inline constexpr std::size_t answer_limit =
-    8 * 1024 * 1024; // bytes; a watch answer is unlimited, ours to bound
+    std::size_t{8} * 1024 * 1024; // bytes; a watch answer is unlimited, ours to bound
 inline constexpr std::uint64_t threads_limit = 100'000; // tasks in one job
 inline constexpr int page_items = 1000;                 // items; the state service's largest page
 inline constexpr int host_page = 500;                   // machines; the cloud's largest page
 inline constexpr int hosts_per_request = 50;            // machines in one rental request
 inline constexpr int deletes_per_request = 100;         // names in one deletion
-inline constexpr std::size_t txn_bytes = 48 * 1024;     // bytes; 64 KiB less room for conditions
+inline constexpr std::size_t txn_bytes = std::size_t{48} * 1024;     // bytes; 64 KiB less room for conditions
 
 // --- clocks ---
 inline constexpr double clock_drift = 0.0005; // ratio; how far two steady clocks may drift apart
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -284,7 +284,7 @@
     record.accepted_at = wall_s();
     record.spec = spec;
     auto value = wire::encode_job_record(record);
-    if (value.size() + 16 > settings_.value_kb * 1024)
+    if (static_cast<double>(value.size() + 16) > settings_.value_kb * 1024)
         co_return error(400, "frames: the description is too long");
     if (cache_.active(spec.id) || cache_.ended(spec.id) || !why.empty()) {
         auto now = co_await current(spec.id);
@@ -675,7 +675,7 @@
             u.when = w.when;
             u.ops = w.ops;
             u.rank = rank_of(w.kind);
-            u.result = [this, l, w](store::unit_outcome how, std::uint64_t revision) {
+            u.result = [l, w](store::unit_outcome how, std::uint64_t revision) {
                 if (how == store::unit_outcome::lost || l->over || !l->core)
                     return;
                 l->core->on_written(w, how == store::unit_outcome::committed, revision, now_s());
@@ -793,12 +793,12 @@
     if (!in_charge(l))
         co_return;
     try {
+        bool refused =
+            a.how == net::outcome::answered &&
+            (a.status == 400 || (a.status == 503 && a.body.find("capacity") != std::string::npos));
         if (a.ok())
             l->core->on_rented(r.request, wire::parse_rented(a.body), now_s());
-        else if (a.how == net::outcome::answered && a.status == 503 &&
-                 a.body.find("capacity") != std::string::npos)
-            l->core->on_rent_refused(r.request, now_s());
-        else if (a.how == net::outcome::answered && a.status == 400)
+        else if (refused)
             l->core->on_rent_refused(r.request, now_s());
         else
             l->core->on_rent_unsure(r.request, now_s());
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -84,7 +84,7 @@
             ok = false;
         if (s.spread && known + unknown >= j.zone_cap())
             ok = false;
-        out.push_back(ok);
+        out.push_back(static_cast<char>(ok));
     }
     return out;
 }
--- a/src/fairness/team_order.cpp
+++ b/src/fairness/team_order.cpp
@@ -11,7 +11,7 @@
     for (std::size_t i = 0; i < jobs.size(); ++i) {
         auto &j = jobs[i];
         order[i] = i;
-        late[i] = j.due_in_s.empty() || j.due_in_s.back() < j.longest_s;
+        late[i] = static_cast<char>(j.due_in_s.empty() || j.due_in_s.back() < j.longest_s);
         if (!j.begun && j.waited_s > constants::starved_s)
             starved.push_back(i);
         if (late[i] && j.waited_s > constants::aged_s &&
@@ -24,6 +24,7 @@
         return late[a] != late[b] ? late[a] < late[b] : jobs[a].work_s < jobs[b].work_s;
     });
     std::vector<turn> out;
+    out.reserve(starved.size() + 1 + order.size());
     for (auto i : starved)
         out.push_back({i, 1});
     if (aged < jobs.size()) {
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -92,7 +92,7 @@
     if (kind == "release") {
         book_.release(as);
     } else if (kind == "promise") {
-        bool granted = book_.grant(as, m.number("ms") / 1000.0, now);
+        bool granted = book_.grant(as, static_cast<double>(m.number("ms")) / 1000.0, now);
         out.numbers["granted"] = granted;
         if (granted && m.text("role") == "leader") {
             hint_ = from;
@@ -154,7 +154,7 @@
         auto a = wire::parse_peer(r.body);
         p.heard_at = now_s();
         p.state_ok = a.number("state_ok") != 0;
-        p.reports_age = a.number("reports_age_ms", 1000000) / 1000.0;
+        p.reports_age = static_cast<double>(a.number("reports_age_ms", 1000000)) / 1000.0;
         // A promise to an earlier candidacy doesn't count, and none revives a leader that lapsed.
         if (a.number("granted") && candidacy == candidacy_ &&
             (candidate || authority_.valid(now_s())))
--- a/src/net/async.hpp
+++ b/src/net/async.hpp
@@ -32,7 +32,7 @@
 
 // Starts a duty. What escapes it is logged: one broken exchange must not end the process.
 inline void spawn(asio::io_context &io, awaitable<void> duty, std::string name) {
-    asio::co_spawn(io, std::move(duty), [name = std::move(name)](std::exception_ptr e) {
+    asio::co_spawn(io, std::move(duty), [name = std::move(name)](const std::exception_ptr &e) {
         if (!e)
             return;
         try {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -215,19 +215,19 @@
         if (e->ty != SEXP_LIST || !e->list || e->list->ty != SEXP_VALUE || !e->list->val)
             fail(origin, "every entry must be a list (NAME VALUE)");
         std::string name = e->list->val;
+        auto place = fmt::format("{}: {}", origin, name);
         auto *v = e->list->next;
         if (!v || v->ty != SEXP_VALUE || !v->val || v->next)
-            fail(origin + ": " + name, "must have exactly one value");
+            fail(place, "must have exactly one value");
         if (!seen.insert(name).second)
-            fail(origin + ": " + name, "is set twice");
+            fail(place, "is set twice");
         std::string value = v->val;
         auto number = [&](double least, double most) {
             double n = 0;
             auto [p, ec] = std::from_chars(value.data(), value.data() + value.size(), n);
             if (ec != std::errc() || p != value.data() + value.size() || !(n >= least) ||
                 !(n <= most))
-                fail(origin + ": " + name,
-                     fmt::format("'{}' must be a number from {} to {}", value, least, most));
+                fail(place, fmt::format("'{}' must be a number from {} to {}", value, least, most));
             return n;
         };
         if (name == "spare-replicas")
@@ -238,10 +238,10 @@
             o.fleet_limit = static_cast<int>(number(1, 100000));
         else if (name == "spot") {
             if (value != "yes" && value != "no")
-                fail(origin + ": spot", "must be yes or no");
+                fail(place, "must be yes or no");
             o.spot = value == "yes";
         } else
-            fail(origin + ": " + name, "is not a known setting");
+            fail(place, "is not a known setting");
     }
     return o;
 }
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -57,7 +57,7 @@
 
 committer::committer(net::asio::io_context &io, state_client &state, const settings::settings &s,
                      std::string name)
-    : io_(io), state_(state), settings_(s), name_(std::move(name)), wake_(io) {}
+    : state_(state), settings_(s), name_(std::move(name)), wake_(io) {}
 
 bool committer::full() const {
     return waiting_.size() >= c::commit_queue;
@@ -159,6 +159,7 @@
         // With every written key's version among the conditions, a copy of this transaction that
         // arrives late can't undo a later one.
         std::vector<txn_condition> conditions;
+        conditions.reserve(when.size() + 1);
         for (auto &[key, version] : when)
             conditions.push_back({key, version});
         if (fence_now)
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -46,7 +46,6 @@
     bool permitted() const; // to send a transaction now
     static void drop_given_up(auto &units, double now);
     void note(const txn_op &o, std::uint64_t revision);
-    net::asio::io_context &io_;
     state_client &state_;
     const settings::settings &settings_;
     std::string name_;
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -30,7 +30,7 @@
 
 void state_client::leading(bool yes) {
     // All nodes together stay below the limits; the leader's part is the larger one.
-    double others = std::max<std::size_t>(1, settings_.members.size());
+    auto others = static_cast<double>(std::max<std::size_t>(1, settings_.members.size()));
     double share = settings_.members.empty() ? 1.0
                    : yes                     ? c::leader_write_share
                                              : (1 - c::leader_write_share) / others;
