--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -1,7 +1,8 @@
 #include "store/committer.hpp"
 #include "constants.hpp"
 #include <algorithm>
-#include <set>
+#include <iterator>
+#include <utility>
 
 namespace spindlecroft::store {
 
@@ -119,202 +120,206 @@
         std::reverse(batch.begin(), batch.end());
         co_await send(std::move(batch));
     }
-    for (auto &u : waiting_)
-        if (u.result)
-            u.result(unit_outcome::lost, 0);
+    std::vector<unit> left(std::make_move_iterator(waiting_.begin()),
+                           std::make_move_iterator(waiting_.end()));
     waiting_.clear();
+    tell(left, unit_outcome::lost);
 }
 
 bool committer::permitted() const {
     return !stopping_ && (!fence || fence());
 }
 
+void committer::tell(std::vector<unit> &batch, unit_outcome how, std::uint64_t revision) {
+    for (auto &u : std::exchange(batch, {}))
+        if (u.result)
+            u.result(how, revision);
+}
+
+std::optional<committer::transaction>
+committer::make_transaction(const std::vector<unit> &batch) const {
+    transaction t;
+    if (fence) {
+        t.fence = fence();
+        if (!t.fence || stopping_)
+            return std::nullopt;
+    }
+    // With every written key's version among the conditions, a copy of this transaction that
+    // arrives late can't undo a later one.
+    std::map<std::string, std::uint64_t> versions;
+    for (auto &u : batch) {
+        for (auto &w : u.when)
+            versions[w.key] = w.version;
+        for (auto &o : u.ops) {
+            if (u.owned && !versions.count(o.key)) {
+                auto known = versions_.find(o.key);
+                versions[o.key] = known == versions_.end() ? 0 : known->second;
+            }
+            t.ops.push_back(o);
+        }
+        t.rank = std::min(t.rank, u.rank);
+    }
+    t.conditions.reserve(versions.size() + 1);
+    for (auto &[key, version] : versions)
+        t.conditions.push_back({key, version});
+    if (t.fence)
+        t.conditions.push_back(*t.fence);
+    t.kept_after_refusal = (batch.size() + 1) / 2;
+    return t;
+}
+
 awaitable<void> committer::send(std::vector<unit> batch) {
     while (!batch.empty()) {
-        std::optional<txn_condition> fence_now;
-        if (fence) {
-            fence_now = fence();
-            if (!fence_now || stopping_) {
-                for (auto &u : batch)
-                    if (u.result)
-                        u.result(unit_outcome::lost, 0);
-                co_return;
-            }
+        auto t = make_transaction(batch);
+        if (!t) {
+            tell(batch, unit_outcome::lost);
+            co_return;
         }
-        std::map<std::string, std::uint64_t> when;
-        std::vector<txn_op> ops;
-        auto rank = urgency::rest;
-        for (auto &u : batch) {
-            for (auto &w : u.when)
-                when[w.key] = w.version;
-            for (auto &o : u.ops) {
-                if (u.owned && !when.count(o.key)) {
-                    auto v = versions_.find(o.key);
-                    when[o.key] = v == versions_.end() ? 0 : v->second;
-                }
-                ops.push_back(o);
-            }
-            rank = std::min(rank, u.rank);
+        while (co_await send_once(*t, batch) == next_step::same_again) {
         }
-        // With every written key's version among the conditions, a copy of this transaction that
-        // arrives late can't undo a later one.
-        std::vector<txn_condition> conditions;
-        conditions.reserve(when.size() + 1);
-        for (auto &[key, version] : when)
-            conditions.push_back({key, version});
-        if (fence_now)
-            conditions.push_back(*fence_now);
-        bool unsure = false;
-        auto kept = (batch.size() + 1) / 2; // units that stay after a refusal
-        for (;;) {
-            net::permission may_send = [this] { return permitted(); };
-            auto t = co_await state_.commit(conditions, ops, rank, std::move(may_send));
-            if (t.how == txn_outcome::committed) {
-                for (auto &u : batch)
-                    if (u.owned)
-                        for (auto &o : u.ops)
-                            note(o, t.revision);
-                for (auto &u : batch)
-                    if (u.result)
-                        u.result(unit_outcome::committed, t.revision);
-                co_return;
-            }
-            if (t.how == txn_outcome::unknown) {
-                unsure = true;
-                co_await net::sleep_s(c::state_retry_s);
-                if (!permitted()) {
-                    for (auto &u : batch)
-                        if (u.result)
-                            u.result(unit_outcome::lost, 0);
-                    co_return;
-                }
-                continue; // the same again: its conditions hold at most once
-            }
-            if (t.how == txn_outcome::refused) {
-                co_await net::sleep_s(c::state_retry_s);
-                if (!permitted()) {
-                    for (auto &u : batch)
-                        if (u.result)
-                            u.result(unit_outcome::lost, 0);
-                    co_return;
-                }
-                if (!unsure) {
-                    drop_given_up(batch, net::now_s());
-                    if (batch.empty())
-                        co_return;
-                }
-                // Guards against a large transaction that the service never has room for while
-                // small ones of other nodes use up what it allows. One that may have been executed
-                // stays as it is: the same again is applied at most once.
-                if (!unsure) {
-                    std::stable_sort(batch.begin(), batch.end(),
-                                     [](auto &a, auto &b) { return a.rank < b.rank; });
-                    while (batch.size() > kept) {
-                        waiting_.push_front(std::move(batch.back()));
-                        batch.pop_back();
-                    }
-                    break;
-                }
-                continue;
-            }
-            if (t.how == txn_outcome::bad) {
-                spdlog::error("{}: a transaction was refused as malformed: {}", name_, t.error);
-                for (auto &u : batch)
-                    if (u.result)
-                        u.result(unit_outcome::conflict, 0);
-                co_return;
-            }
-            // Conflict.
-            std::set<std::string> failed(t.failed.begin(), t.failed.end());
-            // After an unknown outcome it may have been our own copy that moved the keys. All or
-            // nothing was applied, so one written value tells.
-            bool applied = false;
-            std::uint64_t applied_at = 0;
-            if (unsure) {
-                auto written =
-                    std::find_if(ops.begin(), ops.end(), [](auto &o) { return !o.value.empty(); });
-                if (written == ops.end()) {
-                    applied = true; // deletions of keys that nobody else writes
-                } else {
-                    for (;;) {
-                        auto i = co_await state_.get(written->key, rank);
-                        if (i) {
-                            applied = i->found && wire::same_json(i->kv.value, written->value);
-                            applied_at = i->found ? i->kv.version : 0;
-                            break;
-                        }
-                        if (!permitted()) {
-                            for (auto &u : batch)
-                                if (u.result)
-                                    u.result(unit_outcome::lost, 0);
-                            co_return;
-                        }
-                        co_await net::sleep_s(c::state_retry_s);
-                    }
-                }
-            }
-            if (!applied && fence_now && failed.count(fence_now->key)) {
-                // The token was raised meanwhile, or we lead no more: whoever holds the fence finds
-                // out which, or this would be tried for ever.
-                if (fence_failed)
-                    fence_failed();
-                co_await net::sleep_s(c::state_retry_s);
-                auto again = fence();
-                if (again && again->version != fence_now->version)
-                    break;
-                if (again)
-                    continue;
-                for (auto &u : batch)
-                    if (u.result)
-                        u.result(unit_outcome::lost, 0);
-                co_return;
-            }
-            if (applied) {
-                for (auto &u : batch) {
-                    if (u.owned)
-                        for (auto &o : u.ops)
-                            note(o, applied_at);
-                    if (u.result)
-                        u.result(unit_outcome::committed, applied_at);
-                }
-                co_return;
-            }
-            // Those whose conditions failed are told; the rest is tried again without them.
-            std::vector<unit> rest;
-            bool any = false;
-            for (auto &u : batch) {
-                bool hit = false;
-                for (auto &w : u.when)
-                    hit = hit || failed.count(w.key);
-                for (auto &o : u.ops)
-                    hit = hit || (u.owned && failed.count(o.key));
-                if (!hit) {
-                    rest.push_back(std::move(u));
-                    continue;
-                }
-                any = true;
-                // Our idea of an owned key's version was wrong: read it for the next try.
-                for (auto &o : u.ops)
-                    if (u.owned && failed.count(o.key)) {
-                        auto i = co_await state_.get(o.key, rank);
-                        if (i && i->found)
-                            versions_[o.key] = i->kv.version;
-                        else if (i)
-                            versions_.erase(o.key);
-                    }
-                if (u.result)
-                    u.result(unit_outcome::conflict, 0);
-            }
-            if (!any) {
-                for (auto &u : rest)
-                    if (u.result)
-                        u.result(unit_outcome::conflict, 0);
-                co_return;
-            }
-            batch = std::move(rest);
-            break;
+    }
+}
+
+awaitable<committer::next_step> committer::send_once(transaction &t, std::vector<unit> &batch) {
+    net::permission may_send = [this] { return permitted(); };
+    auto answer = co_await state_.commit(t.conditions, t.ops, t.rank, std::move(may_send));
+    switch (answer.how) {
+    case txn_outcome::committed:
+        on_committed(batch, answer.revision);
+        co_return next_step::settled;
+    case txn_outcome::unknown:
+        t.unsure = true;
+        co_await net::sleep_s(c::state_retry_s);
+        // The same again: its conditions hold at most once.
+        co_return again_if_permitted(batch);
+    case txn_outcome::refused:
+        co_await net::sleep_s(c::state_retry_s);
+        co_return on_refused(t, batch);
+    case txn_outcome::bad:
+        spdlog::error("{}: a transaction was refused as malformed: {}", name_, answer.error);
+        tell(batch, unit_outcome::conflict);
+        co_return next_step::settled;
+    case txn_outcome::conflict:
+        break;
+    }
+    std::set<std::string> failed(answer.failed.begin(), answer.failed.end());
+    co_return co_await on_conflict(t, failed, batch);
+}
+
+committer::next_step committer::again_if_permitted(std::vector<unit> &batch) {
+    if (permitted())
+        return next_step::same_again;
+    tell(batch, unit_outcome::lost);
+    return next_step::settled;
+}
+
+void committer::on_committed(std::vector<unit> &batch, std::uint64_t revision) {
+    for (auto &u : batch)
+        if (u.owned)
+            for (auto &o : u.ops)
+                note(o, revision);
+    tell(batch, unit_outcome::committed, revision);
+}
+
+// Guards against a large transaction that the service never has room for while small ones of other
+// nodes use up what it allows. One that may have been executed stays as it is: the same again is
+// applied at most once.
+committer::next_step committer::on_refused(const transaction &t, std::vector<unit> &batch) {
+    if (t.unsure || !permitted())
+        return again_if_permitted(batch);
+    drop_given_up(batch, net::now_s());
+    std::stable_sort(batch.begin(), batch.end(), [](auto &a, auto &b) { return a.rank < b.rank; });
+    while (batch.size() > t.kept_after_refusal) {
+        waiting_.push_front(std::move(batch.back()));
+        batch.pop_back();
+    }
+    return next_step::settled;
+}
+
+awaitable<committer::next_step> committer::on_conflict(const transaction &t,
+                                                       const std::set<std::string> &failed,
+                                                       std::vector<unit> &batch) {
+    if (t.unsure) {
+        auto own = co_await find_own_copy(t);
+        if (!own) {
+            tell(batch, unit_outcome::lost);
+            co_return next_step::settled;
+        }
+        if (own->applied) {
+            on_committed(batch, own->revision);
+            co_return next_step::settled;
+        }
+    }
+    if (t.fence && failed.count(t.fence->key))
+        co_return co_await on_fence_failed(t, batch);
+    co_await drop_conflicting(t.rank, failed, batch);
+    co_return next_step::settled;
+}
+
+// After an unknown outcome it may have been our own copy that moved the keys. All or nothing was
+// applied, so one written value tells.
+awaitable<std::optional<committer::own_copy>> committer::find_own_copy(const transaction &t) {
+    auto written =
+        std::find_if(t.ops.begin(), t.ops.end(), [](auto &o) { return !o.value.empty(); });
+    if (written == t.ops.end())
+        co_return own_copy{true, 0}; // deletions of keys that nobody else writes
+    for (;;) {
+        auto i = co_await state_.get(written->key, t.rank);
+        if (i) {
+            bool applied = i->found && wire::same_json(i->kv.value, written->value);
+            co_return own_copy{applied, applied ? i->kv.version : 0};
         }
+        if (!permitted())
+            co_return std::nullopt;
+        co_await net::sleep_s(c::state_retry_s);
     }
 }
 
+// The token was raised meanwhile, or we lead no more: whoever holds the fence finds out which, or
+// this would be tried for ever.
+awaitable<committer::next_step> committer::on_fence_failed(const transaction &t,
+                                                           std::vector<unit> &batch) {
+    if (fence_failed)
+        fence_failed();
+    co_await net::sleep_s(c::state_retry_s);
+    auto now = fence();
+    if (!now) {
+        tell(batch, unit_outcome::lost);
+        co_return next_step::settled;
+    }
+    co_return now->version != t.fence->version ? next_step::settled : next_step::same_again;
+}
+
+// Units whose conditions failed are told; the rest is tried again without them.
+awaitable<void> committer::drop_conflicting(urgency rank, const std::set<std::string> &failed,
+                                            std::vector<unit> &batch) {
+    std::vector<unit> rest, hit;
+    for (auto &u : std::exchange(batch, {})) {
+        bool clash = std::any_of(u.when.begin(), u.when.end(),
+                                 [&](auto &w) { return failed.count(w.key) > 0; });
+        for (auto &o : u.ops)
+            clash = clash || (u.owned && failed.count(o.key) > 0);
+        (clash ? hit : rest).push_back(std::move(u));
+    }
+    if (hit.empty()) {
+        tell(rest, unit_outcome::conflict);
+        co_return;
+    }
+    for (auto &u : hit)
+        for (auto &o : u.ops)
+            if (u.owned && failed.count(o.key))
+                co_await read_version(o.key, rank);
+    tell(hit, unit_outcome::conflict);
+    batch = std::move(rest);
+}
+
+// Our idea of an owned key's version was wrong: it is read for the next try.
+awaitable<void> committer::read_version(const std::string &key, urgency rank) {
+    auto i = co_await state_.get(key, rank);
+    if (i && i->found)
+        versions_[key] = i->kv.version;
+    else if (i)
+        versions_.erase(key);
+}
+
 } // namespace spindlecroft::store
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace spindlecroft::store {
 
@@ -42,7 +43,41 @@
     void set_version(const std::string &key, std::uint64_t version);
 
   private:
+    struct transaction {
+        std::vector<txn_condition> conditions;
+        std::vector<txn_op> ops;
+        std::optional<txn_condition> fence;
+        urgency rank = urgency::rest;
+        bool unsure = false;                // a copy of it may have been, or may yet be, executed
+        std::size_t kept_after_refusal = 0; // units
+    };
+    enum class next_step {
+        same_again, // send the same transaction once more
+        settled,    // what is left of the batch, if anything, goes into a new transaction
+    };
+    struct own_copy {
+        bool applied = false;
+        std::uint64_t revision = 0;
+    };
+    // Sends the units of the batch until each has its outcome.
     net::awaitable<void> send(std::vector<unit> batch);
+    // Nothing: not entitled.
+    std::optional<transaction> make_transaction(const std::vector<unit> &batch) const;
+    // These leave in the batch what has no outcome yet.
+    net::awaitable<next_step> send_once(transaction &t, std::vector<unit> &batch);
+    next_step again_if_permitted(std::vector<unit> &batch);
+    void on_committed(std::vector<unit> &batch, std::uint64_t revision);
+    next_step on_refused(const transaction &t, std::vector<unit> &batch);
+    net::awaitable<next_step> on_conflict(const transaction &t, const std::set<std::string> &failed,
+                                          std::vector<unit> &batch);
+    net::awaitable<next_step> on_fence_failed(const transaction &t, std::vector<unit> &batch);
+    net::awaitable<void> drop_conflicting(urgency rank, const std::set<std::string> &failed,
+                                          std::vector<unit> &batch);
+    // Nothing: the permission ended before it was found.
+    net::awaitable<std::optional<own_copy>> find_own_copy(const transaction &t);
+    net::awaitable<void> read_version(const std::string &key, urgency rank);
+    // Gives every unit of the batch its outcome and empties it.
+    static void tell(std::vector<unit> &batch, unit_outcome how, std::uint64_t revision = 0);
     bool permitted() const; // to send a transaction now
     static void drop_given_up(auto &units, double now);
     void note(const txn_op &o, std::uint64_t revision);
