--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -7,7 +7,8 @@
 
 // --- limits of the wire (PROTOCOL) ---
 inline constexpr std::size_t body_limit = std::size_t{64} * 1024; // bytes; no request may be larger
-inline constexpr std::size_t line_limit = std::size_t{64} * 1024; // bytes; no response line may be larger
+inline constexpr std::size_t line_limit =
+    std::size_t{64} * 1024; // bytes; no response line may be larger
 inline constexpr std::size_t answer_limit =
     std::size_t{8} * 1024 * 1024; // bytes; a watch answer is unlimited, ours to bound
 inline constexpr std::uint64_t threads_limit = 100'000; // tasks in one job
@@ -15,7 +16,8 @@
 inline constexpr int host_page = 500;                   // machines; the cloud's largest page
 inline constexpr int hosts_per_request = 50;            // machines in one rental request
 inline constexpr int deletes_per_request = 100;         // names in one deletion
-inline constexpr std::size_t txn_bytes = std::size_t{48} * 1024;     // bytes; 64 KiB less room for conditions
+inline constexpr std::size_t txn_bytes =
+    std::size_t{48} * 1024; // bytes; 64 KiB less room for conditions
 
 // --- clocks ---
 inline constexpr double clock_drift = 0.0005; // ratio; how far two steady clocks may drift apart
@@ -146,8 +148,8 @@
     2000; // bids; a round stops there and goes on in the next, so that reports are answered between
 inline constexpr double pump_rest =
     1.0; // ratio; after a round the leader answers for as long as the round took
-inline constexpr double idle_rebid_s = 1.0;   // s; a machine idle for this long has tasks bid again
-inline constexpr double speed_gain = 0.15; // weight of the newest measurement of a machine's speed
+inline constexpr double idle_rebid_s = 1.0; // s; a machine idle for this long has tasks bid again
+inline constexpr double speed_gain = 0.15;  // weight of the newest measurement of a machine's speed
 inline constexpr double class_gain = 0.1; // weight of the newest measurement of a class's estimates
 inline constexpr double speed_floor = 0.1;  // a machine slower than this counts as this fast
 inline constexpr double slow_machine = 0.6; // a machine slower than this is given back
