--- /dev/null
+++ b/src/catalog/cancelled_record.cpp
@@ -0,0 +1,22 @@
+#include "catalog/cancelled_record.hpp"
+
+namespace spindlecroft::catalog {
+
+// Guards against a cancel that the state service refuses for ever: the record may have been written
+// when the service still took larger values.
+wire::job_record cancelled_record(wire::job_record record, double cancelled_at,
+                                  std::size_t most_bytes) {
+    record.cancelled = true;
+    record.cancelled_at = cancelled_at;
+    record.spec.predecessors.clear();
+    auto too_long = [&] { return wire::encode_job_record(record).size() > most_bytes; };
+    if (too_long())
+        record.spec.types.reset();
+    if (too_long()) {
+        record.spec.zone.reset();
+        record.spec.image.assign(1, '-');
+    }
+    return record;
+}
+
+} // namespace spindlecroft::catalog
--- /dev/null
+++ b/src/catalog/dependency_graph.hpp
@@ -0,0 +1,74 @@
+// Which jobs wait for which, and what follows from how those ended.
+//
+// Whether a job is ready or cancelled with a predecessor is a pure function of durable records: its
+// own and those of its predecessors. "Done" and "cancelled" are final and exclude each other, so
+// every controller comes to the same answer, whenever and in whatever order it reads the records.
+// There are no cycles: a job names only jobs that were accepted before it, and its record's list is
+// never extended.
+#pragma once
+#include "wire/types.hpp"
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spindlecroft::catalog {
+
+// How a predecessor ended. An active job whose record says that it is cancelled counts as ended.
+struct predecessor_end {
+    job_stage stage = job_stage::done; // done or cancelled
+    double at = 0;                     // s, on the clock of whoever notes it; 0: unknown
+};
+
+enum class standing {
+    ready,     // every predecessor is known to be done
+    waiting,   // for a predecessor that is not known to have ended
+    cancelled, // with a predecessor, direct or not
+};
+
+class dependency_graph {
+  public:
+    // Whether a job has an active record.
+    using active_test = std::function<bool(const std::string &)>;
+
+    struct node {
+        std::vector<std::string> predecessors;
+        std::size_t not_done = 0; // predecessors that are not known to be done
+        bool cancelled = false;
+        double ready_at = 0; // s; the last known end of a predecessor
+    };
+
+    // Jobs whose standing changed.
+    struct changes {
+        std::vector<std::string> ready, cancelled;
+    };
+
+    // An active job with predecessors. Adding it again changes nothing. The ends of its
+    // predecessors that the caller knows are to be noted afterwards.
+    void add(const std::string &job, const std::vector<std::string> &predecessors);
+    // The job's record is not active any more, or names no predecessors now.
+    void remove(const std::string &job);
+    void clear();
+    // What is noted about a job that nobody waits for is not kept.
+    changes note_end(const std::string &predecessor, const predecessor_end &end);
+
+    // A job that is not in the graph is ready.
+    standing of(const std::string &job) const;
+    const node *find(const std::string &job) const;
+    const std::map<std::string, node> &nodes() const { return nodes_; }
+    const std::set<std::string> &dependents(const std::string &job) const;
+    const predecessor_end *end_of(const std::string &predecessor) const;
+    // Predecessors of any job that are neither active nor known to have ended.
+    std::set<std::string> unresolved(const active_test &active) const;
+    // The same, of one job and of those that it needs through others.
+    std::set<std::string> unresolved_for(const std::string &job, const active_test &active) const;
+
+  private:
+    void cancel_from(std::vector<std::string> jobs, changes &out);
+    std::map<std::string, node> nodes_;
+    std::map<std::string, std::set<std::string>> dependents_; // by predecessor
+    std::map<std::string, predecessor_end> ends_;             // of those with dependents
+};
+
+} // namespace spindlecroft::catalog
--- a/src/catalog/job.cpp
+++ b/src/catalog/job.cpp
@@ -3,7 +3,7 @@
 namespace spindlecroft::catalog {
 
 std::uint32_t job::waiting() const {
-    if (over())
+    if (over() || !ready)
         return 0;
     return static_cast<std::uint32_t>(again.size()) + (spec.tasks - next_fresh);
 }
--- a/src/catalog/job.hpp
+++ b/src/catalog/job.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "wire/types.hpp"
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,14 @@
     job_spec spec;
     std::uint64_t version = 0; // of its record in the state service
     double accepted_at = 0;    // s, steady clock of this node
+    // With predecessors: whether all of them are durably done, and since when. A job without is
+    // ready from its acceptance on.
+    bool ready = true;
+    double ready_at = 0; // s, steady clock of this node
+    // As submitted. The rank in `spec` is the highest of its own and of any unfinished job that
+    // needs it; the due times (s, steady clock) are passed backwards from those.
+    priority own_rank = priority::normal;
+    std::optional<double> inherited_first_due, inherited_last_due;
     bool cancelled = false;
     double cancelled_at = 0;
     bool end_writing = false, ended = false;
@@ -77,7 +86,7 @@
     double backoff_until = 0;
 
     bool over() const { return cancelled || ended || end_writing; }
-    // Tasks neither done, queued nor on a machine.
+    // Tasks neither done, queued nor on a machine that may be placed: none before the job is ready.
     std::uint32_t waiting() const;
     bool pop_waiting(std::uint32_t &index);
     void push_back(std::uint32_t index);
--- a/src/catalog/job_cache.cpp
+++ b/src/catalog/job_cache.cpp
@@ -29,7 +29,42 @@
     return i->second;
 }
 
+void job_cache::take_active(const std::string &id, cached_job job) {
+    auto &kept = active_[id] = std::move(job);
+    if (kept.record.spec.predecessors.empty())
+        graph_.remove(id);
+    else
+        graph_.add(id, kept.record.spec.predecessors);
+    if (kept.record.cancelled)
+        graph_.note_end(id, {job_stage::cancelled, kept.record.cancelled_at});
+}
+
+void job_cache::drop_active(const std::string &id) {
+    active_.erase(id);
+    graph_.remove(id);
+}
+
+void job_cache::settle(const std::string &id) {
+    auto *node = graph_.find(id);
+    if (!node)
+        return;
+    for (auto &predecessor : node->predecessors) {
+        if (graph_.end_of(predecessor))
+            continue;
+        auto a = active_.find(predecessor);
+        if (a != active_.end() && a->second.record.cancelled)
+            graph_.note_end(predecessor, {job_stage::cancelled, a->second.record.cancelled_at});
+        else if (auto e = ended(predecessor))
+            graph_.note_end(predecessor, {e->stage, e->at});
+    }
+}
+
+std::set<std::string> job_cache::unresolved() const {
+    return graph_.unresolved([&](const std::string &id) { return active_.count(id) > 0; });
+}
+
 void job_cache::remember(const std::string &id, const wire::ended_record &r) {
+    graph_.note_end(id, {r.stage, r.at});
     if (ended_.emplace(id, r).second) {
         ended_order_.push_back(id);
         if (ended_order_.size() > c::ended_in_memory) {
@@ -87,7 +122,12 @@
             spdlog::error("{}: {}", i.key, e.what());
         }
     }
-    active_ = std::move(fresh);
+    active_.clear();
+    graph_.clear();
+    for (auto &[id, j] : fresh)
+        take_active(id, std::move(j));
+    for (auto &[id, j] : active_)
+        settle(id);
     absent_.clear(); // changes were missed
     absent_order_.clear();
     revision_ = a->revision;
@@ -113,11 +153,12 @@
                 auto id = i.key.substr(active.size());
                 absent_.erase(id);
                 if (i.value.empty()) {
-                    active_.erase(id);
+                    drop_active(id);
                 } else {
-                    auto &j = active_[id] = {wire::parse_job_record(i.value), i.version};
+                    take_active(id, {wire::parse_job_record(i.value), i.version});
+                    settle(id);
                     if (on_active)
-                        on_active(id, j);
+                        on_active(id, active_.at(id));
                 }
             } else if (i.key.starts_with(ended) && !i.value.empty()) {
                 remember(i.key.substr(ended.size()), wire::parse_ended(i.value));
@@ -151,6 +192,31 @@
     }
 }
 
+awaitable<bool> job_cache::resolve_predecessors(std::string id) {
+    auto active = [this](const std::string &other) { return active_.count(other) > 0; };
+    for (;;) {
+        auto missing = graph_.unresolved_for(id, active);
+        if (missing.empty())
+            co_return true;
+        for (auto &predecessor : missing)
+            if (auto e = co_await read_ended(predecessor); !e || !*e)
+                co_return false;
+    }
+}
+
+awaitable<void> job_cache::run_predecessor_reads() {
+    while (!stopping_) {
+        for (auto &predecessor : unresolved()) {
+            // Its record may have come meanwhile.
+            if (stopping_ || graph_.end_of(predecessor))
+                continue;
+            (void)co_await read_ended(predecessor);
+            co_await net::sleep_s(c::predecessor_read_gap_s);
+        }
+        co_await net::sleep_s(c::predecessor_read_gap_s);
+    }
+}
+
 // The shared reads for polls.
 awaitable<void> job_cache::run_reads() {
     while (!stopping_) {
--- a/src/catalog/job_cache.hpp
+++ b/src/catalog/job_cache.hpp
@@ -1,6 +1,7 @@
 // Every node's copy of the jobs' records, kept by a watch. One shared read brings it up to date for
 // all polls that wait.
 #pragma once
+#include "catalog/dependency_graph.hpp"
 #include "net/async.hpp"
 #include "store/state_client.hpp"
 #include <deque>
@@ -21,6 +22,8 @@
     job_cache(net::asio::io_context &io, store::state_client &state);
     net::awaitable<void> run_watch();
     net::awaitable<void> run_reads();
+    // Reads how predecessors ended that this process never heard of, one after another.
+    net::awaitable<void> run_predecessor_reads();
     void stop();
     // Whether changes should come as they happen, or only with the reads that polls ask for.
     void prompt(bool yes) { prompt_ = yes; }
@@ -38,6 +41,11 @@
     net::awaitable<std::optional<std::optional<wire::ended_record>>> read_ended(std::string id);
     // Nobody has submitted such a job, as of the cache's revision: no read is needed to tell.
     bool known_absent(const std::string &id) const { return absent_.count(id) > 0; }
+    // Reads what is not known of the predecessors of an active job, so that its standing is as of
+    // the cache's revision. False: could not be read.
+    net::awaitable<bool> resolve_predecessors(std::string id);
+    // The dependencies of active jobs; its times are those of day.
+    const dependency_graph &dependencies() const { return graph_; }
     const std::map<std::string, cached_job> &all() const { return active_; }
     bool loaded() const { return loaded_; }
     std::uint64_t revision() const { return revision_; }
@@ -49,11 +57,17 @@
   private:
     net::awaitable<bool> load();
     void apply(const wire::range_answer &a);
+    void take_active(const std::string &id, cached_job job);
+    void drop_active(const std::string &id);
+    // Notes in the graph what is at hand of the job's predecessors.
+    void settle(const std::string &id);
+    std::set<std::string> unresolved() const;
     void remember(const std::string &id, const wire::ended_record &r);
     void remember_absent(const std::string &id, std::uint64_t revision);
     net::asio::io_context &io_;
     store::state_client &state_;
     std::map<std::string, cached_job> active_;
+    dependency_graph graph_;
     std::unordered_map<std::string, wire::ended_record> ended_;
     std::deque<std::string> ended_order_;
     std::unordered_set<std::string> absent_;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -16,6 +16,7 @@
 inline constexpr int host_page = 500;                   // machines; the cloud's largest page
 inline constexpr int hosts_per_request = 50;            // machines in one rental request
 inline constexpr int deletes_per_request = 100;         // names in one deletion
+inline constexpr std::size_t value_margin = 16;         // bytes; kept free in each value
 inline constexpr std::size_t txn_bytes =
     std::size_t{48} * 1024; // bytes; 64 KiB less room for conditions
 
@@ -187,6 +188,14 @@
     0.35; // of cancel_s; a machine not proven clean by then is deleted
 inline constexpr double notice_patience = 1.5; // ratio; notices may last this much longer than told
 
+// --- dependencies ---
+inline constexpr double chain_stage_s =
+    3.0; // s; from the last task of a job to the first of the next: report, records, commands
+inline constexpr double chain_run_margin =
+    1.3; // ratio; the longest of a job's tasks to the usual one
+inline constexpr double predecessor_read_gap_s =
+    0.1; // s; between two reads for predecessors that ended before this process knew of them
+
 // --- fleet ---
 inline constexpr double types_refresh_s = 45.0; // s; prices move slowly
 inline constexpr double hosts_poll_s = 5.0;     // s; between two lists of the machines
--- /dev/null
+++ b/src/control/answers.hpp
@@ -0,0 +1,26 @@
+// The answers to users that several parts give.
+#pragma once
+#include "constants.hpp"
+#include "net/http.hpp"
+#include "wire/codec.hpp"
+#include <chrono>
+#include <string>
+
+namespace spindlecroft::control {
+
+// Time of day.
+inline double wall_s() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+inline net::response error(int status, const std::string &what, int retry = 0) {
+    return {status, wire::encode_error(what), retry, false};
+}
+
+// 503: can't be decided now, to be asked again.
+inline net::response unsure(const std::string &what) {
+    return error(503, what, constants::retry_after_s);
+}
+
+} // namespace spindlecroft::control
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -1,6 +1,7 @@
 #include "control/controller.hpp"
+#include "catalog/cancelled_record.hpp"
 #include "constants.hpp"
-#include <chrono>
+#include "control/answers.hpp"
 #include <fmt/format.h>
 
 namespace spindlecroft::control {
@@ -10,11 +11,6 @@
 using net::now_s;
 using net::response;
 
-static double wall_s() {
-    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 struct controller::leadership {
     leadership(net::asio::io_context &io, store::state_client &state, const settings::settings &s)
         : commits(io, state, s, "leader"), records(io, state, s, "records"), wake(io) {}
@@ -31,13 +27,6 @@
     std::map<std::string, std::shared_ptr<net::client>> workers; // by address
 };
 
-static response error(int status, const std::string &what, int retry = 0) {
-    return {status, wire::encode_error(what), retry, false};
-}
-static response unsure(const std::string &what) {
-    return error(503, what, c::retry_after_s);
-}
-
 static net::server_limits limits_of(const settings::settings &s, bool back) {
     auto plan = settings::plan_sockets(s.max_connections);
     return {back ? plan.back : plan.api, c::idle_connection_s, c::slow_request_s};
@@ -91,6 +80,7 @@
     net::spawn(io_, member_.run(), "membership");
     net::spawn(io_, cache_.run_watch(), "watch");
     net::spawn(io_, cache_.run_reads(), "reads");
+    net::spawn(io_, cache_.run_predecessor_reads(), "predecessor reads");
     net::spawn(io_, user_commits_.run(), "user commits");
     net::spawn(io_, load_types(), "machine types");
 }
@@ -173,25 +163,6 @@
     return r;
 }
 
-std::string controller::rejection(const job_spec &s) const {
-    fairness::team_queues teams(settings_.teams);
-    if (!teams.find(s.team))
-        return "unknown team " + s.team;
-    bool fits = false;
-    for (auto &t : *types_) {
-        if (s.types && std::find(s.types->begin(), s.types->end(), t.name) == s.types->end())
-            continue;
-        if (s.zone && std::find(t.zones.begin(), t.zones.end(), *s.zone) == t.zones.end())
-            continue;
-        fits = fits || bidding::room{t.cpus, t.gpus, t.memory_gb}.fits(s);
-    }
-    if (!fits)
-        return "a task fits no allowed machine type";
-    if (!teams.can_ever_run(s))
-        return "the job needs more than its team's limit";
-    return "";
-}
-
 awaitable<std::optional<store::unit_outcome>> controller::commit(store::unit u, double limit_s) {
     struct shared {
         explicit shared(net::asio::io_context &io) : signal(io) {}
@@ -225,10 +196,13 @@
     }
     if (!co_await cache_.catch_up(1.5))
         co_return std::nullopt;
+    if (!co_await cache_.resolve_predecessors(id))
+        co_return std::nullopt;
     job_status s;
     s.id = id;
     if (auto *j = cache_.active(id)) {
-        if (j->record.cancelled) {
+        bool with_predecessor = cache_.dependencies().of(id) == catalog::standing::cancelled;
+        if (j->record.cancelled || with_predecessor) {
             s.stage = job_stage::cancelled;
             co_return result(s);
         }
@@ -270,46 +244,6 @@
     co_return result(s);
 }
 
-awaitable<response> controller::on_submit(std::string body) {
-    job_spec spec;
-    try {
-        spec = wire::parse_submission(body);
-    } catch (const wire::bad_message &e) {
-        co_return error(400, e.what());
-    }
-    if (!cache_.loaded() || !types_ || user_commits_.full())
-        co_return unsure("not yet able to decide");
-    auto why = rejection(spec);
-    wire::job_record record;
-    record.accepted_at = wall_s();
-    record.spec = spec;
-    auto value = wire::encode_job_record(record);
-    if (static_cast<double>(value.size() + 16) > settings_.value_kb * 1024)
-        co_return error(400, "frames: the description is too long");
-    if (cache_.active(spec.id) || cache_.ended(spec.id) || !why.empty()) {
-        auto now = co_await current(spec.id);
-        if (!now)
-            co_return cut_off();
-        if (*now)
-            co_return response{200, wire::encode_accepted(spec.id, (*now)->stage), 0, false};
-        if (!why.empty())
-            co_return error(422, why);
-    }
-    store::unit u;
-    u.rank = store::urgency::accept;
-    u.when = {{active_key(spec.id), 0}, {ended_key(spec.id), 0}};
-    u.ops = {{active_key(spec.id), value, 0}};
-    auto how = co_await commit(std::move(u), c::user_request_s - 1.5);
-    if (how == store::unit_outcome::committed)
-        co_return response{201, wire::encode_accepted(spec.id, job_stage::pending), 0, false};
-    if (how == store::unit_outcome::conflict) {
-        auto now = co_await current(spec.id);
-        if (now && *now)
-            co_return response{200, wire::encode_accepted(spec.id, (*now)->stage), 0, false};
-    }
-    co_return cut_off();
-}
-
 awaitable<response> controller::on_poll(std::string id) {
     if (!wire::valid_job_id(id))
         co_return error(404, "no such job");
@@ -340,9 +274,7 @@
         auto *j = cache_.active(id);
         if (!j)
             continue;
-        auto record = j->record;
-        record.cancelled = true;
-        record.cancelled_at = wall_s();
+        auto record = catalog::cancelled_record(j->record, wall_s(), settings_.value_bytes());
         store::unit u;
         u.rank = store::urgency::cancel;
         u.when = {{active_key(id), j->version}};
@@ -616,6 +548,7 @@
             core->load_suspects(wire::parse_suspects(value), now);
         },
         [] {}); // they are found out again
+    tell_predecessor_ends(*core, now);
     core->loaded(now);
     std::erase_if(l->cancels, [&](auto &n) { return n.second.revision <= cache_.revision(); });
     for (auto &[id, n] : l->cancels)
@@ -660,12 +593,19 @@
     return store::urgency::rest;
 }
 
+void controller::tell_predecessor_ends(engine &core, double now) const {
+    for (auto &id : core.unresolved_predecessors())
+        if (auto *end = cache_.dependencies().end_of(id))
+            core.on_predecessor_end(id, *end, now);
+}
+
 // Drives the engine: time in, decisions out.
 awaitable<void> controller::pump(std::shared_ptr<leadership> l) {
     double next_summary = now_s() + c::summary_gap_s, next_look = 0;
     while (in_charge(l)) {
         auto &core = *l->core;
         double now = now_s();
+        tell_predecessor_ends(core, now);
         core.tick(now);
         auto most = static_cast<std::size_t>(settings_.txn_ops);
         auto waiting = l->records.waiting();
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -30,6 +30,14 @@
     net::awaitable<std::optional<store::unit_outcome>> commit(store::unit u, double limit_s);
     net::response cut_off() const;
     std::string rejection(const job_spec &s) const;
+    // What a submission's predecessors make of it.
+    struct dependency_check {
+        enum class verdict { fine, unsure, impossible } how = verdict::fine;
+        std::string why;                     // impossible
+        std::vector<std::string> unfinished; // those still to be waited for
+        bool cancelled = false;              // one of them is: so is the job
+    };
+    net::awaitable<dependency_check> check_predecessors(std::vector<std::string> predecessors);
 
     // other controllers
     net::awaitable<net::response> on_peer(net::request r);
@@ -48,6 +56,8 @@
     net::awaitable<net::reply> cloud_call(std::shared_ptr<leadership> l, std::string method,
                                           std::string target, std::string body);
     bool may_renew(double now) const;
+    // What the records say of predecessors that the engine knows nothing of.
+    void tell_predecessor_ends(engine &core, double now) const;
     void obey_cancel(const cancel_notice &n);
     bool in_charge(const std::shared_ptr<leadership> &l) const;
 
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -107,6 +107,7 @@
     j.accepted_at = std::min(now, r.accepted_at - wall_offset_);
     j.done.assign(r.spec.tasks, false);
     j.done_durable.assign(r.spec.tasks, false);
+    j.own_rank = r.spec.rank;
     j.image = image_number(r.spec.image);
     auto &kept = jobs_[id] = std::move(j);
     if (kept.spec.shape == job_shape::service && !r.cancelled) {
@@ -115,7 +116,8 @@
     }
     if (kept.spec.shape == job_shape::array)
         typical_ = kept.spec;
-    if (r.cancelled)
+    add_dependencies(kept, now);
+    if (r.cancelled && !kept.cancelled)
         cancel_job(kept, r.cancelled_at, now);
 }
 
@@ -253,6 +255,7 @@
         else
             stop_attempt(a, 0, now);
     }
+    follow(graph_.note_end(j.spec.id, {job_stage::cancelled, now}), now);
 }
 
 void engine::on_token(std::uint64_t token) {
@@ -1073,7 +1076,7 @@
 
 // --- durable records ---
 
-durable_write engine::end_write(job_t &j) {
+durable_write engine::end_write(const job_t &j, double now) {
     durable_write w;
     w.kind = write_kind::job_end;
     w.job = j.spec.id;
@@ -1082,6 +1085,7 @@
     wire::ended_record e;
     e.stage = j.cancelled ? job_stage::cancelled : job_stage::done;
     e.done = j.done_seen;
+    e.at = now + wall_offset_; // from then on those that wait for it are ready
     w.ops.push_back({ended_key(w.job), wire::encode_ended(e), 0});
     return w;
 }
@@ -1124,6 +1128,11 @@
                     waiting.pop_front();
                     continue;
                 }
+                if (!j->ready) { // never queued, so never here; checked again before it is durable
+                    drop_attempt(*j, ref.index, true);
+                    waiting.pop_front();
+                    continue;
+                }
                 if (now < j->write_after) {
                     later.push_back(ref);
                     waiting.pop_front();
@@ -1371,7 +1380,7 @@
                     complete = false;
         if (complete || cleared) {
             j.end_writing = true;
-            out.push_back(end_write(j));
+            out.push_back(end_write(j, now));
         }
     }
     write_done(out, now, room);
@@ -1458,6 +1467,8 @@
         while (!j->live.empty())
             drop_attempt(*j, j->live.begin()->first, false);
         jobs_.erase(w.job);
+        graph_.remove(w.job);
+        note_own_end(w, now);
         break;
     case write_kind::placed:
     case write_kind::done:
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -1,8 +1,10 @@
 // The deciding part of a controller: events and time in, decisions out. It does no input or output,
 // so that traces can replay it.
 #pragma once
+#include "catalog/dependency_graph.hpp"
 #include "catalog/job.hpp"
 #include "control/bidder.hpp"
+#include "fairness/chain_order.hpp"
 #include "fairness/team_order.hpp"
 #include "fairness/team_queues.hpp"
 #include "settings/settings.hpp"
@@ -87,6 +89,11 @@
                 double now);
     // A cancel that is durable, told before the job's record comes.
     void on_cancel(const cancel_notice &n, double now);
+    // How a predecessor ended, as its durable record says; the time is that of day.
+    void on_predecessor_end(const std::string &id, const catalog::predecessor_end &end, double now);
+    // Predecessors of which neither an active nor an ended record is known here. Until they are,
+    // the jobs that need them don't start.
+    std::set<std::string> unresolved_predecessors() const;
     void on_token(std::uint64_t token);
     // A report, from /checkin or in the answer to a direct command.
     enum class report_age {
@@ -225,8 +232,15 @@
     bool type_allowed(const job_spec &s, const std::string &type) const;
     double expected_s(const job_t &j) const;
     fairness::waiting_job urgency_of(const job_t &j, double now) const;
-    void end_if_complete(job_t &j);
-    durable_write end_write(job_t &j);
+    durable_write end_write(const job_t &j, double now);
+    // --- dependencies (engine_dependencies.cpp) ---
+    void add_dependencies(job_t &j, double now);
+    void follow(const catalog::dependency_graph::changes &changes, double now);
+    double chain_duration_s(const job_t &j) const;
+    std::optional<fairness::chain_member> chain_member_of(const std::string &id) const;
+    void inherit_along_chains();
+    void note_own_end(const durable_write &end, double now);
+    void take_inherited(const std::string &id, const fairness::inherited &from);
     void on_placements_written(const durable_write &w, bool ok, double now);
     void write_placements(std::vector<durable_write> &out, double now);
     void note_done(job_t &j, std::uint32_t index, double now);
@@ -241,6 +255,8 @@
     fairness::team_queues teams_;
     bidding::estimates estimates_;
     std::map<std::string, job_t> jobs_;
+    catalog::dependency_graph graph_;  // of jobs_; its times are of the steady clock
+    std::set<std::string> inheriting_; // jobs whose rank or due times come from others
     std::map<std::string, machine_t> machines_;
     std::map<std::string, bidder> bidders_; // of machines, as last worked out
     std::map<std::string, rental_state> rentals_;
--- /dev/null
+++ b/src/control/engine_dependencies.cpp
@@ -0,0 +1,128 @@
+// Jobs that wait for others: readiness, cancels passed on, and what a job inherits from those that
+// need it.
+#include "constants.hpp"
+#include "control/engine.hpp"
+#include "fairness/chain_order.hpp"
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace spindlecroft::control {
+
+namespace c = constants;
+
+// Guards against too_early and orphaned after a takeover: readiness comes from durable records
+// alone, and a job with a predecessor that is not known yet is neither ready nor cancelled.
+void engine::add_dependencies(job_t &j, double now) {
+    j.ready_at = j.accepted_at;
+    if (j.spec.predecessors.empty())
+        return;
+    auto &id = j.spec.id;
+    graph_.add(id, j.spec.predecessors);
+    for (auto &predecessor : j.spec.predecessors)
+        if (auto *p = job_of(predecessor); p && p->cancelled)
+            graph_.note_end(predecessor, {job_stage::cancelled, now});
+    auto stands = graph_.of(id);
+    j.ready = stands == catalog::standing::ready;
+    j.ready_at = now;
+    if (stands == catalog::standing::cancelled)
+        cancel_job(j, 0, now);
+}
+
+void engine::on_predecessor_end(const std::string &id, const catalog::predecessor_end &end,
+                                double now) {
+    auto steady = end;
+    steady.at = end.at > 0 ? std::min(now, end.at - wall_offset_) : now;
+    follow(graph_.note_end(id, steady), now);
+}
+
+// The end that we wrote ourselves.
+void engine::note_own_end(const durable_write &end, double now) {
+    auto record = wire::parse_ended(end.ops.back().value);
+    on_predecessor_end(end.job, {record.stage, record.at}, now);
+}
+
+void engine::follow(const catalog::dependency_graph::changes &changes, double now) {
+    for (auto &id : changes.ready)
+        if (auto *j = job_of(id)) {
+            j->ready = true;
+            j->ready_at = std::max(j->accepted_at, graph_.find(id)->ready_at);
+            dirty_ = true;
+        }
+    // None of them was ready, so none has a task.
+    for (auto &id : changes.cancelled)
+        if (auto *j = job_of(id); j && !j->cancelled)
+            cancel_job(*j, 0, now);
+}
+
+std::set<std::string> engine::unresolved_predecessors() const {
+    return graph_.unresolved([&](const std::string &id) { return jobs_.count(id) > 0; });
+}
+
+// From its readiness to its end: fetching the image, and as many waves as its team's limit makes
+// of its tasks.
+double engine::chain_duration_s(const job_t &j) const {
+    auto &s = j.spec;
+    double tasks = s.tasks - j.done_seen, waves = 1;
+    if (auto *team = teams_.find(s.team)) {
+        if (team->cpus_max > 0)
+            waves = std::max(waves, std::ceil(tasks * s.cpus / team->cpus_max));
+        if (team->gpus_max > 0)
+            waves = std::max(waves, std::ceil(tasks * s.gpus / team->gpus_max));
+    }
+    double slowest = 0; // GB/s
+    for (auto &t : types_)
+        if (type_allowed(s, t.name) && t.fetch_gb_per_s > 0)
+            slowest = slowest > 0 ? std::min(slowest, t.fetch_gb_per_s) : t.fetch_gb_per_s;
+    double fetch_s = slowest > 0 ? s.image_gb / slowest : 0;
+    return c::chain_stage_s + fetch_s + waves * c::chain_run_margin * expected_s(j);
+}
+
+std::optional<fairness::chain_member> engine::chain_member_of(const std::string &id) const {
+    auto *j = find_job(id);
+    if (!j || j->over())
+        return {};
+    fairness::chain_member member;
+    member.rank = j->own_rank;
+    member.duration_s = chain_duration_s(*j);
+    if (double own = j->spec.deadline_s.value_or(0); own > 0) {
+        double latest = own;
+        for (auto &o : settings_.objectives)
+            if (o.job_class == j->spec.job_class)
+                latest = std::max(latest, own * o.times);
+        member.due = fairness::due_times{j->accepted_at + own, j->accepted_at + latest};
+    }
+    return member;
+}
+
+void engine::inherit_along_chains() {
+    if (graph_.nodes().empty() && inheriting_.empty())
+        return;
+    auto inherited =
+        fairness::inherit(graph_, [this](const std::string &id) { return chain_member_of(id); });
+    auto former = std::exchange(inheriting_, {});
+    for (auto &[id, from] : inherited) {
+        inheriting_.insert(id);
+        former.erase(id);
+        take_inherited(id, from);
+    }
+    for (auto &id : former)
+        take_inherited(id, {});
+}
+
+void engine::take_inherited(const std::string &id, const fairness::inherited &from) {
+    auto *j = job_of(id);
+    if (!j)
+        return;
+    j->inherited_first_due = from.due ? std::optional(from.due->first) : std::nullopt;
+    j->inherited_last_due = from.due ? std::optional(from.due->last) : std::nullopt;
+    auto rank = std::min(j->own_rank, from.rank);
+    if (rank == j->spec.rank)
+        return;
+    j->spec.rank = rank;
+    for (auto &[index, a] : j->live)
+        if (auto m = machines_.find(a.machine); m != machines_.end())
+            m->second.touch(); // which room its tasks leave to others depends on the rank
+}
+
+} // namespace spindlecroft::control
--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -115,10 +115,10 @@
         return;
     std::vector<job_t *> by_age;
     for (auto &[id, j] : jobs_)
-        if (!j.over() && !failures_.is_suspect(id))
+        if (!j.over() && j.ready && !failures_.is_suspect(id))
             by_age.push_back(&j);
     std::sort(by_age.begin(), by_age.end(),
-              [](auto *a, auto *b) { return a->accepted_at < b->accepted_at; });
+              [](auto *a, auto *b) { return a->ready_at < b->ready_at; });
     std::map<std::string, fairness::usage> earlier;
     for (auto *j : by_age) {
         auto &u = earlier[j->spec.team];
@@ -420,16 +420,26 @@
 fairness::waiting_job engine::urgency_of(const job_t &j, double now) const {
     fairness::waiting_job w;
     double expected = expected_s(j);
-    double own = j.spec.deadline_s.value_or(0), waited = now - j.accepted_at;
+    // The deadline counts from the submission, everything else from when the job was ready.
+    double own = j.spec.deadline_s.value_or(0), waited = now - j.ready_at;
+    double late_ready = j.ready_at - j.accepted_at;
     auto due = [&](double s) {
         if (s > 0)
             w.due_in_s.push_back(s - waited);
     };
-    due(own);
+    auto deadline = [&](double s) {
+        if (s > 0)
+            w.due_in_s.push_back(s - late_ready - waited);
+    };
+    deadline(own);
+    if (j.inherited_first_due) {
+        w.due_in_s.push_back(*j.inherited_first_due - now);
+        w.due_in_s.push_back(*j.inherited_last_due - now);
+    }
     // What is aimed at for its class: a job late for the first aim can be in time for the next.
     for (auto &o : settings_.objectives)
         if (o.job_class == j.spec.job_class) {
-            due(own * o.times);
+            deadline(own * o.times);
             if (o.within_s > 0)
                 due(o.kind == "wait" ? o.within_s + expected : o.within_s);
         }
@@ -449,6 +459,7 @@
     if (now < hold_until_)
         return;
     rebid(now);
+    inherit_along_chains();
     count_usage();
     mark_guaranteed();
     bid_round round;
--- /dev/null
+++ b/src/fairness/chain_order.cpp
@@ -0,0 +1,64 @@
+#include "fairness/chain_order.hpp"
+#include <algorithm>
+
+namespace spindlecroft::fairness {
+
+namespace {
+
+// The job's own values together with those that it inherits.
+chain_member combined(chain_member own, const inherited &from) {
+    own.rank = std::min(own.rank, from.rank);
+    if (!from.due)
+        return own;
+    if (!own.due)
+        own.due = from.due;
+    own.due->first = std::min(own.due->first, from.due->first);
+    own.due->last = std::min(own.due->last, from.due->last);
+    return own;
+}
+
+} // namespace
+
+void inherited::merge(const chain_member &dependent) {
+    rank = std::min(rank, dependent.rank);
+    if (!dependent.due)
+        return;
+    due_times earlier{dependent.due->first - dependent.duration_s,
+                      dependent.due->last - dependent.duration_s};
+    if (!due)
+        due = earlier;
+    due->first = std::min(due->first, earlier.first);
+    due->last = std::min(due->last, earlier.last);
+}
+
+std::map<std::string, inherited>
+inherit(const catalog::dependency_graph &graph,
+        const std::function<std::optional<chain_member>(const std::string &)> &member) {
+    // Each job is visited once, after all that need it.
+    std::map<std::string, inherited> out;
+    std::map<std::string, std::size_t> dependents_left;
+    std::vector<std::string> open;
+    for (auto &[job, node] : graph.nodes()) {
+        for (auto &predecessor : node.predecessors)
+            ++dependents_left[predecessor];
+        if (graph.dependents(job).empty())
+            open.push_back(job);
+    }
+    while (!open.empty()) {
+        auto job = std::move(open.back());
+        open.pop_back();
+        auto own = member(job);
+        if (own)
+            if (auto from = out.find(job); from != out.end())
+                own = combined(*own, from->second);
+        for (auto &predecessor : graph.find(job)->predecessors) {
+            if (own && !graph.end_of(predecessor))
+                out[predecessor].merge(*own);
+            if (--dependents_left[predecessor] == 0 && graph.find(predecessor))
+                open.push_back(predecessor);
+        }
+    }
+    return out;
+}
+
+} // namespace spindlecroft::fairness
--- /dev/null
+++ b/src/fairness/chain_order.hpp
@@ -0,0 +1,37 @@
+// What a job inherits from the unfinished jobs that need it: their rank and, passed backwards along
+// the chain, the time by which it should be complete. Pure.
+#pragma once
+#include "catalog/dependency_graph.hpp"
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace spindlecroft::fairness {
+
+// The earliest and the latest of the times by which a job should be complete (s, steady clock).
+struct due_times {
+    double first = 0, last = 0;
+};
+
+// What is known of a job by itself.
+struct chain_member {
+    priority rank = priority::normal;
+    std::optional<due_times> due;
+    double duration_s = 0; // estimated, from its readiness to its end
+};
+
+struct inherited {
+    priority rank = priority::low;
+    std::optional<due_times> due;
+    // Takes what the job's dependent, as it stands, asks of it.
+    void merge(const chain_member &dependent);
+};
+
+// For every job that unfinished jobs need. member: nothing for a job that does not count (any
+// more).
+std::map<std::string, inherited>
+inherit(const catalog::dependency_graph &graph,
+        const std::function<std::optional<chain_member>(const std::string &)> &member);
+
+} // namespace spindlecroft::fairness
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -25,6 +25,10 @@
     return nullptr;
 }
 
+std::size_t settings::value_bytes() const {
+    return static_cast<std::size_t>(value_kb * 1024) - constants::value_margin;
+}
+
 namespace {
 
 [[noreturn]] void fail(const std::string &key, const std::string &what) {
@@ -83,6 +87,17 @@
     return v;
 }
 
+// The limits that the state service will have from some moment on, without notice.
+void read_coming_limits(settings &s, const toml::table &next) {
+    const std::string prefix = "cluster.state.next";
+    s.value_kb = std::min(s.value_kb, number_at(next, "value_kb", prefix, 2, s.value_kb));
+    auto ops = number_at(next, "txn_ops", prefix, 2, static_cast<double>(s.txn_ops));
+    s.txn_ops = std::min(s.txn_ops, static_cast<int>(ops));
+    double rate = number_at(next, "write_rps", prefix, 1, s.state_write_rps);
+    if (rate < s.state_write_rps)
+        s.next_state_write_rps = rate;
+}
+
 } // namespace
 
 address parse_address(const std::string &text, const std::string &key) {
@@ -185,6 +200,8 @@
     s.state_write_rps = number_at(state, "write_rps", "cluster.state", 1);
     s.value_kb = number_at(state, "value_kb", "cluster.state", 2);
     s.txn_ops = static_cast<int>(number_at(state, "txn_ops", "cluster.state", 2));
+    if (state.get("next"))
+        read_coming_limits(s, table_at(state, "next", "cluster.state"));
     const auto &cloud = table_at(cluster, "cloud", "cluster");
     s.cloud_rps = number_at(cloud, "rps", "cluster.cloud", 0.1);
     s.list_lag_s = number_at(cloud, "list_lag_s", "cluster.cloud", 0);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -1,5 +1,6 @@
 // Settings: the platform's TOML file and the operators' own S-expression file, both checked.
 #pragma once
+#include <cstddef>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -55,14 +56,20 @@
     std::vector<team> teams;
     std::vector<objective> objectives;
     double report_s = 0, lease_s = 0, cancel_s = 0;
-    double state_rps = 0, state_write_rps = 0, value_kb = 0;
+    double state_rps = 0, state_write_rps = 0;
+    // The smaller of the present and the coming limit: what is written stays within both.
+    double value_kb = 0;
     int txn_ops = 0;
+    // The coming limit, used once the service shows that it is in force; nothing: it stays.
+    std::optional<double> next_state_write_rps;
     double cloud_rps = 0, list_lag_s = 0;
     double core_share = 0, ram_mb = 0;
     int max_connections = 0;
     operator_options ops;
 
     const team *find_team(const std::string &name) const;
+    // The longest value that the state service takes, with some room for how it counts.
+    std::size_t value_bytes() const;
 };
 
 // One line that names the key and what is wrong with it.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <memory>
+#include <set>
 
 namespace spindlecroft::wire {
 
@@ -173,9 +174,24 @@
     o["tieS"] = s.save_s;
     if (s.deadline_s)
         o["dueS"] = *s.deadline_s;
+    if (!s.predecessors.empty())
+        o["awaits"] = json::value_from(s.predecessors);
     return o;
 }
 
+std::vector<std::string> predecessors_of(const json::array &ids, const std::string &job) {
+    std::vector<std::string> out;
+    std::set<std::string> seen{job}; // a job can't wait for itself
+    for (auto &v : ids) {
+        if (!v.is_string() || !valid_job_id(std::string(v.get_string())))
+            fail("awaits", "must hold job ids");
+        out.emplace_back(v.get_string());
+        if (!seen.insert(out.back()).second)
+            fail("awaits", "names a job twice, or the job itself");
+    }
+    return out;
+}
+
 job_spec spec_of(const json::object &o) {
     job_spec s;
     s.id = text(o, "uid");
@@ -229,6 +245,8 @@
     s.save_s = amount_or(o, "tieS", 0);
     if (find(o, "dueS"))
         s.deadline_s = amount(o, "dueS");
+    if (find(o, "awaits"))
+        s.predecessors = predecessors_of(list(o, "awaits"), s.id);
     return s;
 }
 
@@ -573,13 +591,18 @@
     return count(parse_object(body), "loan");
 }
 
+// The field of a job record that holds a job with predecessors. Guards against controllers of
+// versions before 0.5, which would pass over the list of predecessors and start the job too early:
+// they look for "job", and leave alone a record that lacks it.
+static constexpr const char *dependent_job = "dependentJob";
+
 std::string encode_job_record(const job_record &r) {
     json::object o;
     o["cancelled"] = r.cancelled;
     o["at"] = r.accepted_at;
     if (r.cancelled)
         o["cancelledAt"] = r.cancelled_at;
-    o["job"] = spec_object(r.spec);
+    o[r.spec.predecessors.empty() ? "job" : dependent_job] = spec_object(r.spec);
     return json::serialize(o);
 }
 
@@ -589,7 +612,8 @@
     r.cancelled = flag(o, "cancelled");
     r.accepted_at = amount(o, "at");
     r.cancelled_at = amount_or(o, "cancelledAt", 0);
-    r.spec = spec_of(object_of(need(o, "job"), "job"));
+    auto *field = find(o, dependent_job) ? dependent_job : "job";
+    r.spec = spec_of(object_of(need(o, field), field));
     return r;
 }
 
@@ -597,6 +621,8 @@
     json::object o;
     o["stage"] = stage_word(r.stage);
     o["done"] = r.done;
+    if (r.at > 0)
+        o["at"] = r.at; // versions before 0.5 pass over it
     return json::serialize(o);
 }
 
@@ -606,6 +632,7 @@
     r.stage =
         text(o, "stage") == stage_word(job_stage::done) ? job_stage::done : job_stage::cancelled;
     r.done = static_cast<std::uint32_t>(count(o, "done"));
+    r.at = amount_or(o, "at", 0);
     return r;
 }
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -91,6 +91,7 @@
 struct ended_record {
     job_stage stage = job_stage::done;
     std::uint32_t done = 0;
+    double at = 0; // s, time of day; 0: unknown, as in records of versions before 0.5
 };
 std::string encode_ended(const ended_record &r);
 ended_record parse_ended(const std::string &value);
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -24,6 +24,7 @@
     bool one_zone = false, spread = false, spot = false;
     double estimate_s = 0, checkpoint_s = 0, save_s = 0;
     std::optional<double> deadline_s;
+    std::vector<std::string> predecessors; // jobs that must be done before any task starts
 };
 
 enum class task_state { fetching, running, saving, exited };
--- /dev/null
+++ b/tests/compatibility_test.cpp
@@ -0,0 +1,103 @@
+// What the version in production writes and says is read here, and what is written for it can be
+// read there. tests/compatibility/README.md says how the samples were made.
+#include "wire/codec.hpp"
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+using namespace spindlecroft;
+
+namespace {
+
+std::string sample(const std::string &name) {
+    std::ifstream in(std::string(SPINDLECROFT_SAMPLES) + "/" + name);
+    EXPECT_TRUE(in) << name;
+    std::stringstream text;
+    text << in.rdbuf();
+    auto value = text.str();
+    while (!value.empty() && value.back() == '\n')
+        value.pop_back();
+    return value;
+}
+
+std::string message(const std::string &name) {
+    auto hex = sample("messages/" + name + ".hex");
+    std::string out;
+    for (std::size_t i = 0; i + 1 < hex.size(); i += 2)
+        out += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+    return out;
+}
+
+} // namespace
+
+// The present version writes jobs without predecessors exactly as production does.
+TEST(compatibility, jobs_without_predecessors_are_written_as_before) {
+    for (auto *name : {"job_array", "job_service", "job_cancelled"}) {
+        auto value = sample(std::string("records/") + name + ".json");
+        auto record = wire::parse_job_record(value);
+        EXPECT_TRUE(record.spec.predecessors.empty());
+        EXPECT_EQ(wire::encode_job_record(record), value) << name;
+    }
+    auto record = wire::parse_job_record(sample("records/job_cancelled.json"));
+    EXPECT_TRUE(record.cancelled);
+    EXPECT_EQ(record.cancelled_at, 1764668460.75);
+    EXPECT_EQ(record.spec.tasks, 16u);
+    EXPECT_EQ(record.spec.deadline_s, 900);
+}
+
+TEST(compatibility, shared_records_are_written_as_before) {
+    auto placed = sample("records/placed.json");
+    EXPECT_EQ(wire::parse_placed(placed).size(), 3u);
+    EXPECT_EQ(wire::encode_placed(wire::parse_placed(placed)), placed);
+    auto done = sample("records/done.json");
+    EXPECT_EQ(wire::parse_done(done).front().bits.front(), true);
+    EXPECT_EQ(wire::encode_done(wire::parse_done(done)), done);
+    auto rentals = sample("records/rentals.json");
+    EXPECT_EQ(wire::parse_rental_record(rentals).requests.at(1).count, 50);
+    EXPECT_EQ(wire::encode_rental_record(wire::parse_rental_record(rentals)), rentals);
+    auto suspects = sample("records/suspects.json");
+    EXPECT_EQ(wire::encode_suspects(wire::parse_suspects(suspects)), suspects);
+    auto leader = sample("records/leader.json");
+    EXPECT_EQ(wire::encode_leader(wire::parse_leader(leader)), leader);
+    auto types = sample("records/types.json");
+    EXPECT_EQ(wire::encode_types(wire::parse_types(types)), types);
+}
+
+// The time of the end is new: production passes over it, and its records lack it.
+TEST(compatibility, ended_records_differ_in_a_field_that_production_passes_over) {
+    auto value = sample("records/ended_done.json");
+    auto record = wire::parse_ended(value);
+    EXPECT_EQ(record.stage, job_stage::done);
+    EXPECT_EQ(record.done, 16u);
+    EXPECT_EQ(record.at, 0);
+    EXPECT_EQ(wire::encode_ended(record), value);
+    record.at = 12.5;
+    EXPECT_EQ(wire::parse_ended(wire::encode_ended(record)).at, 12.5);
+    EXPECT_TRUE(wire::encode_ended(record).starts_with(value.substr(0, value.size() - 1)));
+    EXPECT_EQ(wire::parse_ended(sample("records/ended_cancelled.json")).stage,
+              job_stage::cancelled);
+}
+
+TEST(compatibility, messages_between_controllers_are_as_before) {
+    for (auto *name : {"promise_question", "promise_answer", "release", "progress_question",
+                       "progress_answer"}) {
+        auto bytes = message(name);
+        EXPECT_EQ(wire::encode_peer(wire::parse_peer(bytes)), bytes) << name;
+    }
+    EXPECT_EQ(wire::parse_peer(message("promise_answer")).cancels.at(0).job, "job-000412");
+    EXPECT_EQ(wire::parse_peer(message("promise_question")).number("cancels_after"), 17u);
+}
+
+// Guards against a controller of the version in production that starts a job too early because it
+// passes over the list of predecessors: it looks for the field "job" and rejects a record without.
+TEST(compatibility, a_job_with_predecessors_has_no_field_that_production_takes_for_a_job) {
+    auto record = wire::parse_job_record(sample("records/job_array.json"));
+    record.spec.predecessors = {"job-000398", "job-000405"};
+    auto value = wire::encode_job_record(record);
+    EXPECT_EQ(value.find("\"job\":"), std::string::npos);
+    EXPECT_EQ(wire::parse_job_record(value).spec.predecessors, record.spec.predecessors);
+    // Once cancelled it waits for nobody, and production may read it again.
+    record.cancelled = true;
+    record.spec.predecessors.clear();
+    EXPECT_NE(wire::encode_job_record(record).find("\"job\":"), std::string::npos);
+}
--- /dev/null
+++ b/tests/dependency_graph_test.cpp
@@ -0,0 +1,165 @@
+// Readiness and cancels passed on, as a pure function of what is known of the predecessors.
+#include "catalog/dependency_graph.hpp"
+#include "fairness/chain_order.hpp"
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace spindlecroft;
+using catalog::dependency_graph;
+using catalog::standing;
+
+namespace {
+
+const catalog::predecessor_end done{job_stage::done, 10};
+const catalog::predecessor_end cancelled{job_stage::cancelled, 10};
+
+// harvest, then tally and draft, then publish.
+dependency_graph diamond() {
+    dependency_graph graph;
+    graph.add("tally", {"harvest"});
+    graph.add("draft", {"harvest"});
+    graph.add("publish", {"tally", "draft"});
+    return graph;
+}
+
+std::vector<std::string> sorted(std::vector<std::string> list) {
+    std::sort(list.begin(), list.end());
+    return list;
+}
+
+} // namespace
+
+TEST(dependency_graph, a_job_is_ready_once_every_predecessor_is_done) {
+    auto graph = diamond();
+    EXPECT_EQ(graph.of("tally"), standing::waiting);
+    EXPECT_EQ(sorted(graph.note_end("harvest", done).ready),
+              (std::vector<std::string>{"draft", "tally"}));
+    EXPECT_TRUE(graph.note_end("tally", {job_stage::done, 20}).ready.empty());
+    EXPECT_EQ(graph.of("publish"), standing::waiting);
+    EXPECT_EQ(graph.note_end("draft", {job_stage::done, 15}).ready,
+              std::vector<std::string>{"publish"});
+    EXPECT_EQ(graph.of("publish"), standing::ready);
+    EXPECT_EQ(graph.find("publish")->ready_at, 20);
+}
+
+TEST(dependency_graph, an_end_that_is_told_twice_counts_once) {
+    auto graph = diamond();
+    graph.note_end("tally", done);
+    EXPECT_TRUE(graph.note_end("tally", done).ready.empty());
+    EXPECT_EQ(graph.of("publish"), standing::waiting);
+}
+
+TEST(dependency_graph, a_cancel_reaches_all_dependents_once) {
+    auto graph = diamond();
+    EXPECT_EQ(sorted(graph.note_end("harvest", cancelled).cancelled),
+              (std::vector<std::string>{"draft", "publish", "tally"}));
+    EXPECT_TRUE(graph.note_end("tally", cancelled).cancelled.empty());
+    EXPECT_EQ(graph.of("publish"), standing::cancelled);
+}
+
+TEST(dependency_graph, a_cancelled_dependent_leaves_its_predecessors_alone) {
+    auto graph = diamond();
+    EXPECT_EQ(graph.note_end("draft", cancelled).cancelled, std::vector<std::string>{"publish"});
+    EXPECT_EQ(graph.of("tally"), standing::waiting);
+    EXPECT_EQ(graph.note_end("harvest", done).ready.size(), 2u);
+}
+
+TEST(dependency_graph, a_job_added_after_the_cancel_is_cancelled) {
+    auto graph = diamond();
+    graph.note_end("harvest", cancelled);
+    graph.add("late", {"publish"});
+    EXPECT_EQ(graph.of("late"), standing::cancelled);
+    graph.remove("publish");
+    graph.add("later", {"late"});
+    EXPECT_EQ(graph.of("later"), standing::cancelled);
+}
+
+// Whatever the order in which the records are read, the answer is the same.
+TEST(dependency_graph, the_order_of_knowledge_does_not_matter) {
+    using step = std::function<void(dependency_graph &)>;
+    std::vector<step> steps{
+        [](auto &g) {
+            g.add("b", {"a"});
+            g.note_end("a", {job_stage::cancelled, 1}); // as a caller does that knows it
+        },
+        [](auto &g) {
+            g.add("c", {"b", "x"});
+        },
+        [](auto &g) { g.add("d", {"c"}); },
+        [](auto &g) {
+            g.note_end("x", {job_stage::done, 1});
+        },
+    };
+    std::vector<std::size_t> order{0, 1, 2, 3};
+    do {
+        dependency_graph graph;
+        for (auto i : order)
+            steps[i](graph);
+        EXPECT_EQ(graph.of("d"), standing::cancelled);
+        EXPECT_EQ(graph.of("b"), standing::cancelled);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(dependency_graph, a_chain_of_any_length_is_followed) {
+    dependency_graph graph;
+    constexpr int length = 100'000;
+    for (int i = 1; i <= length; ++i)
+        graph.add("job-" + std::to_string(i), {"job-" + std::to_string(i - 1)});
+    auto none = [](const std::string &) { return true; };
+    EXPECT_TRUE(graph.unresolved_for("job-" + std::to_string(length), none).empty());
+    EXPECT_EQ(graph.note_end("job-0", cancelled).cancelled.size(),
+              static_cast<std::size_t>(length));
+}
+
+TEST(dependency_graph, what_is_neither_active_nor_ended_is_unresolved) {
+    auto graph = diamond();
+    auto active = [](const std::string &id) { return id != "harvest"; };
+    EXPECT_EQ(graph.unresolved(active), std::set<std::string>{"harvest"});
+    EXPECT_EQ(graph.unresolved_for("publish", active), std::set<std::string>{"harvest"});
+    graph.note_end("harvest", done);
+    EXPECT_TRUE(graph.unresolved(active).empty());
+    EXPECT_TRUE(graph.unresolved_for("publish", active).empty());
+}
+
+TEST(dependency_graph, keeps_nothing_of_jobs_that_nobody_waits_for) {
+    auto graph = diamond();
+    graph.note_end("stranger", done);
+    EXPECT_EQ(graph.end_of("stranger"), nullptr);
+    graph.note_end("harvest", done);
+    graph.remove("tally");
+    EXPECT_NE(graph.end_of("harvest"), nullptr);
+    graph.remove("draft");
+    EXPECT_EQ(graph.end_of("harvest"), nullptr);
+    EXPECT_TRUE(graph.dependents("harvest").empty());
+}
+
+TEST(chain_order, rank_and_due_time_pass_backwards) {
+    auto graph = diamond();
+    auto member = [](const std::string &id) -> std::optional<fairness::chain_member> {
+        fairness::chain_member m;
+        m.rank = id == "publish" ? priority::high : priority::low;
+        m.duration_s = id == "tally" ? 30 : 10;
+        if (id == "publish")
+            m.due = fairness::due_times{100, 150};
+        return m;
+    };
+    auto from = fairness::inherit(graph, member);
+    EXPECT_EQ(from.at("tally").due->first, 90);
+    EXPECT_EQ(from.at("draft").due->last, 140);
+    // By way of the tally, which takes longer than the draft.
+    EXPECT_EQ(from.at("harvest").due->first, 60);
+    EXPECT_EQ(from.at("harvest").due->last, 110);
+    EXPECT_EQ(from.at("harvest").rank, priority::high);
+    EXPECT_FALSE(from.count("publish"));
+}
+
+TEST(chain_order, what_is_over_asks_for_nothing) {
+    auto graph = diamond();
+    auto member = [](const std::string &id) -> std::optional<fairness::chain_member> {
+        if (id == "publish")
+            return {};
+        return fairness::chain_member{priority::low, {}, 10};
+    };
+    EXPECT_EQ(fairness::inherit(graph, member).at("harvest").rank, priority::low);
+    EXPECT_FALSE(fairness::inherit(graph, member).count("tally"));
+}
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -183,6 +183,8 @@
                     core->load_unreadable_placements(now);
                 else
                     load(key, value, now);
+            ends_known = get(f, "ends", "known") == "known";
+            tell_ends(now);
             core->loaded(now);
             writes.clear();
         } else if (verb == "job") {
@@ -212,6 +214,10 @@
                 r.spec.spot = false;
                 r.spec.estimate_s = 0;
             }
+            if (f.count("needs"))
+                r.spec.predecessors = f["needs"];
+            if (f.count("deadline"))
+                r.spec.deadline_s = std::stod(get(f, "deadline", "0"));
             records[names.at(0)] = r;
             versions[names.at(0)] = ++revision;
             core->on_job(names.at(0), r, revision, now);
@@ -270,6 +276,8 @@
                 }
                 core->on_written(w, ok, revision, now);
             }
+        } else if (verb == "ends-read") {
+            ends_known = true;
         } else if (verb == "rent-unsure") {
             core->on_rent_unsure(names.at(0), now);
         } else if (verb == "rent-refused") {
@@ -287,10 +295,20 @@
         } else if (verb != "tick") {
             throw std::runtime_error("unknown verb " + verb);
         }
+        tell_ends(now);
         decisions(now);
     }
 
     std::map<std::string, std::string> store;
+    // Whether the ended records of predecessors can be read.
+    bool ends_known = true;
+    void tell_ends(double now) {
+        for (auto &id : core->unresolved_predecessors())
+            if (auto i = store.find("j/e/" + id); ends_known && i != store.end()) {
+                auto end = wire::parse_ended(i->second);
+                core->on_predecessor_end(id, {end.stage, end.at}, now);
+            }
+    }
     void load(const std::string &key, const std::string &value, double now) {
         if (key.rfind("d/", 0) == 0)
             core->load_done(key.substr(2), wire::parse_done(value));
