--- a/tests/cluster_stand_ins.hpp
+++ b/tests/cluster_stand_ins.hpp
@@ -209,24 +209,23 @@
                               const std::string &team = "blue", const std::string &awaits = "null",
                               const std::string &shape = "array") {
     return fmt::format(
-        R"({{"uid":"{}","lot":"batch","crew":"{}","shape":"{}","rank":"standard","threads":1,)"
-        R"("cores":{},"gpus":0,"memGb":4,"frames":null,"croft":null,"samePlace":false,)"
+        R"({{"uid":"{0}","lot":"batch","crew":"{1}","shape":"{2}","rank":"standard","threads":1,)"
+        R"("cores":{3},"gpus":0,"memGb":{3},"frames":null,"croft":null,"samePlace":false,)"
         R"("scatter":false,"loaners":true,"bobbin":"img","sizeGb":1,"reckonS":600,"knotS":0,)"
-        R"("tieS":0,"dueS":null,"awaits":{}}})",
+        R"("tieS":0,"dueS":null,"awaits":{4}}})",
         id, team, shape, cores, awaits);
 }
 
-struct cluster {
+// Three controllers and their surroundings, however the controllers are run.
+struct controllers {
     net::asio::io_context io;
     state_service state{io};
     std::vector<settings::settings> conf;
-    std::vector<std::unique_ptr<control::controller>> nodes;
 
-    explicit cluster(bool types_known = true) {
+    explicit controllers(bool types_known = true) {
         if (types_known)
             state.put("c/types", json::parse(machine_types), 0);
         auto cloud = free_address(io); // nobody listens there
-        std::vector<settings::address> backs;
         for (int i = 0; i < 3; ++i) {
             auto s = test::small_settings();
             s.node = fmt::format("n{}", i);
@@ -236,17 +235,14 @@
             s.state = state.open_door(static_cast<std::size_t>(i));
             conf.push_back(s);
         }
-        for (auto &s : conf) {
+        for (auto &s : conf)
             for (auto &o : conf)
                 if (o.node != s.node)
                     s.members.push_back({o.node, "a", o.back});
-            nodes.push_back(std::make_unique<control::controller>(io, s));
-            nodes.back()->start();
-        }
     }
-    ~cluster() {
-        for (auto &n : nodes)
-            n->stop();
+    virtual ~controllers() = default;
+
+    void close() {
         for (auto &d : state.doors)
             d->stop();
         io.run_for(net::seconds(0.1));
@@ -299,22 +295,43 @@
     }
 };
 
+struct cluster : controllers {
+    std::vector<std::unique_ptr<control::controller>> nodes;
+
+    explicit cluster(bool types_known = true) : controllers(types_known) {
+        for (auto &s : conf) {
+            nodes.push_back(std::make_unique<control::controller>(io, s));
+            nodes.back()->start();
+        }
+    }
+    ~cluster() override {
+        for (auto &n : nodes)
+            n->stop();
+        close();
+    }
+};
+
 // A worker that reports to whoever answers it, and executes what it is told.
 struct reporting_worker {
-    explicit reporting_worker(cluster &cluster) : c(cluster) {}
-    cluster &c;
+    explicit reporting_worker(controllers &around) : c(around) {}
+    controllers &c;
     std::size_t node = 0;
     std::uint64_t tally = 0, warrant = 0;
-    std::map<std::pair<std::string, std::uint64_t>, std::string> tasks; // by task and attempt
+    struct task {
+        std::string stage = "running", cause;
+    };
+    std::map<std::pair<std::string, std::uint64_t>, task> tasks; // by task and attempt
     int answers = 0;
+    std::vector<std::string> started;       // in this order
+    std::vector<std::string> started_twice; // while the task was here in another attempt
 
     // One report; true if it was answered by an entitled node.
     bool report() {
         json::array threads;
-        for (auto &[t, stage] : tasks) {
-            json::object o{{"thread", t.first}, {"try", t.second}, {"stage", stage}};
-            if (stage == "exited")
-                o["cause"] = "halted";
+        for (auto &[t, here] : tasks) {
+            json::object o{{"thread", t.first}, {"try", t.second}, {"stage", here.stage}};
+            if (here.stage == "exited")
+                o["cause"] = here.cause;
             threads.push_back(o);
         }
         json::object o{{"spindle", "i-000001"}, {"address", "127.0.0.1:1"}, {"frame", "small"},
@@ -337,20 +354,35 @@
                                       v.at("try").to_number<std::uint64_t>());
             auto verb = v.at("verb").as_string();
             if (verb == "start")
-                tasks.emplace(key, "running");
+                start(key);
             else if (verb == "kill" && tasks.count(key))
-                tasks[key] = "exited";
+                tasks[key] = {"exited", "halted"};
             else if (verb == "reap")
                 tasks.erase(key);
         }
         return true;
     }
+    void start(const std::pair<std::string, std::uint64_t> &key) {
+        if (tasks.count(key))
+            return;
+        for (auto &[t, here] : tasks)
+            if (t.first == key.first && here.stage == "running")
+                started_twice.push_back(key.first);
+        started.push_back(key.first);
+        tasks[key] = {};
+    }
     bool runs(const std::string &job) const {
-        for (auto &[t, stage] : tasks)
-            if (t.first == job + "/0" && stage == "running")
+        for (auto &[t, here] : tasks)
+            if (t.first == job + "/0" && here.stage == "running")
                 return true;
         return false;
     }
+    // The running task of the job is done.
+    void finish(const std::string &job) {
+        for (auto &[t, here] : tasks)
+            if (t.first == job + "/0" && here.stage == "running")
+                here = {"exited", "done"};
+    }
 };
 
 } // namespace spindlecroft::test
