--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -93,6 +93,9 @@
 inline constexpr double write_patience_s =
     0.4; // s; a change that waited so long is not passed by more urgent ones any more
 inline constexpr double state_retry_s = 0.25;     // s; pause after a refusal
+inline constexpr double refusal_window_s = 10.0; // s; refusals of changes are counted within it
+inline constexpr int refusals_for_next_limit =
+    3; // refusals in the window; they show that the state service has its smaller limit
 inline constexpr std::size_t commit_queue = 4000; // waiting changes; beyond it users get 503
 inline constexpr std::uint64_t part_done =
     4096; // tasks of a job in one part of a done record (1 KiB as hex digits)
@@ -216,6 +219,6 @@
 inline constexpr int spare_replicas =
     2; // replicas of the largest service that fit at once, kept warm
 inline constexpr int fleet_limit =
-    5000; // machines; a guard against runaway renting, beyond what the sockets of a node can serve
+    9000; // machines; a guard against runaway renting, well above the largest fleet in use (4,000)
 
 } // namespace spindlecroft::constants
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -606,6 +606,7 @@
         auto &core = *l->core;
         double now = now_s();
         tell_predecessor_ends(core, now);
+        core.set_state_write_rps(state_.write_limit());
         core.tick(now);
         auto most = static_cast<std::size_t>(settings_.txn_ops);
         auto waiting = l->records.waiting();
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -129,6 +129,7 @@
         if (!j)
             continue;
         kept.parts.insert({p.job, p.part});
+        kept.bytes += wire::done_bytes(p.job, p.bits.size());
         j->done_in[p.part] = record;
         for (std::size_t k = 0; k < p.bits.size(); ++k) {
             std::size_t i = p.part * c::part_done + k;
@@ -139,6 +140,7 @@
             }
         }
     }
+    kept.too_large = kept.bytes > most_record_bytes();
 }
 
 void engine::load_placed(const std::string &name, const std::vector<wire::placed_task> &tasks,
@@ -1091,8 +1093,7 @@
 }
 
 void engine::write_placements(std::vector<durable_write> &out, double now) {
-    std::size_t most_bytes = std::min(
-        static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024), c::txn_bytes);
+    std::size_t most_bytes = std::min(most_record_bytes(), c::txn_bytes);
     std::size_t most_jobs = static_cast<std::size_t>(std::max(1, 2 * settings_.txn_ops));
     for (int kind = 0; kind < 2; ++kind) {
         auto &waiting = unplaced_[kind];
@@ -1245,24 +1246,35 @@
     }
 }
 
+std::size_t engine::most_record_bytes() const {
+    return static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024);
+}
+
+// The record that takes the next part of so many bytes.
+std::string engine::open_done_record(std::size_t bytes) {
+    auto open = done_records_.find(open_done_);
+    if (open != done_records_.end() && open->second.bytes + bytes <= most_record_bytes())
+        return open_done_;
+    if (open != done_records_.end())
+        open->second.open = false;
+    open_done_ = fmt::format("{}-{}", first_token_, ++done_counter_);
+    done_records_.emplace(open_done_, done_record{});
+    return open_done_;
+}
+
+// Guards against a record that an earlier version filled under larger limits and that can't be
+// written any more: it stays as it is until its jobs have ended, and what is new of a part goes
+// into another record. A part in two records is done where either says so.
 void engine::note_done(job_t &j, std::uint32_t index, double now) {
     auto part = static_cast<std::uint32_t>(index / c::part_done);
     auto &name = j.done_in[part];
-    if (name.empty()) {
+    if (name.empty() || done_records_[name].too_large) {
         auto tasks = std::min<std::size_t>(j.spec.tasks - part * c::part_done, c::part_done);
         auto bytes = wire::done_bytes(j.spec.id, tasks);
-        auto open = done_records_.find(open_done_);
-        if (open == done_records_.end() ||
-            open->second.bytes + bytes >
-                static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024)) {
-            if (open != done_records_.end())
-                open->second.open = false;
-            open_done_ = fmt::format("{}-{}", first_token_, ++done_counter_);
-            open = done_records_.emplace(open_done_, done_record{}).first;
-        }
-        open->second.bytes += bytes;
-        open->second.parts.insert({j.spec.id, part});
-        name = open_done_;
+        name = open_done_record(bytes);
+        auto &open = done_records_[name];
+        open.bytes += bytes;
+        open.parts.insert({j.spec.id, part});
     }
     auto &r = done_records_[name];
     if (!r.dirty)
@@ -1317,7 +1329,7 @@
 void engine::write_suspects(std::vector<durable_write> &out, double now) {
     if (suspects_busy_ || now - suspects_at_ < c::suspects_gap_s)
         return;
-    auto most = static_cast<std::size_t>(c::placed_fill * settings_.value_kb * 1024);
+    auto most = most_record_bytes();
     std::vector<std::string> jobs;
     std::size_t bytes = wire::suspects_bytes("");
     for (auto &id : failures_.suspects()) {
--- a/src/control/engine.hpp
+++ b/src/control/engine.hpp
@@ -128,6 +128,8 @@
     void on_delete_failed(const std::vector<std::string> &machines);
     void on_written(const durable_write &w, bool ok, std::uint64_t revision, double now);
     void tick(double now);
+    // Changes a second that the state service allows.
+    void set_state_write_rps(double rps) { settings_.state_write_rps = rps; }
 
     // --- decisions ---
     // room: how many records that can wait may be given out now; what waits longer covers more.
@@ -243,6 +245,8 @@
     void take_inherited(const std::string &id, const fairness::inherited &from);
     void on_placements_written(const durable_write &w, bool ok, double now);
     void write_placements(std::vector<durable_write> &out, double now);
+    std::string open_done_record(std::size_t bytes);
+    std::size_t most_record_bytes() const;
     void note_done(job_t &j, std::uint32_t index, double now);
     void write_done(std::vector<durable_write> &out, double now, std::size_t &room);
     void on_done_written(const durable_write &w, bool ok, double now);
@@ -288,7 +292,8 @@
         std::set<std::pair<std::string, std::uint32_t>> parts; // of jobs
         std::size_t bytes = 0;
         bool busy = false, open = true, dirty = false;
-        double since = 0; // s; when it became dirty
+        bool too_large = false; // to be written again under the present limits
+        double since = 0;       // s; when it became dirty
     };
     std::map<std::string, done_record> done_records_;
     std::string open_done_;
--- a/src/control/engine_fleet.cpp
+++ b/src/control/engine_fleet.cpp
@@ -53,11 +53,12 @@
     // Wishes of one round for the same kind of machine share a request, and all requests of a round
     // a record, as far as it holds.
     asked_[offer_key(o.type->name, o.zone, o.spot)] += count;
-    std::size_t in_round = 0;
+    std::size_t in_round = 0, bytes = wire::rental_bytes({});
     auto round = fmt::format("{}-{}", first_token_, rental_round_);
     for (auto &[request, r] : rentals_)
         if (r.round == round) {
             ++in_round;
+            bytes += wire::rental_bytes(r.what);
             if (r.asked_at == now && !r.durable && r.what.type == o.type->name &&
                 r.what.zone == o.zone && r.what.spot == o.spot &&
                 r.what.count + count <= c::hosts_per_request) {
@@ -65,13 +66,16 @@
                 return;
             }
         }
-    if (rental_round_at_ != now || in_round >= c::rentals_per_record) {
+    auto request = fmt::format("r-{}-{}", first_token_, ++rental_counter_);
+    rental what{request, o.type->name, o.zone, o.spot, count};
+    bytes += wire::rental_bytes(what);
+    if (rental_round_at_ != now || in_round >= c::rentals_per_record ||
+        bytes > most_record_bytes()) {
         rental_round_at_ = now;
         round = fmt::format("{}-{}", first_token_, ++rental_round_);
     }
-    auto request = fmt::format("r-{}-{}", first_token_, ++rental_counter_);
     auto &s = rentals_[request];
-    s.what = {request, o.type->name, o.zone, o.spot, count};
+    s.what = what;
     s.round = round;
     s.asked_at = now;
 }
--- a/src/control/submissions.cpp
+++ b/src/control/submissions.cpp
@@ -121,6 +121,8 @@
     auto how = co_await commit(std::move(u), c::user_request_s - 1.5);
     if (how == store::unit_outcome::committed)
         co_return response{201, wire::encode_accepted(spec.id, stage), 0, false};
+    if (how == store::unit_outcome::too_large)
+        co_return error(422, "the description is longer than the state service takes");
     if (how == store::unit_outcome::conflict) {
         auto now = co_await current(spec.id);
         if (now && *now)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -214,7 +214,15 @@
 }
 
 settings load(const std::string &path) {
-    return parse(read_file(path), path);
+    auto text = read_file(path);
+    try {
+        return parse(text, path);
+    } catch (const settings_error &e) {
+        std::string what = e.what();
+        if (what.starts_with(path))
+            throw;
+        fail(path, what);
+    }
 }
 
 // The operators' file: (spindlecroft (spare-replicas 2) (drain-target-s 20) (spot yes) ...).
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -65,9 +65,9 @@
 }
 
 void committer::submit(unit u) {
-    if (stopping_) {
+    if (stopping_ || known_too_large(u)) {
         if (u.result)
-            u.result(unit_outcome::lost, 0);
+            u.result(stopping_ ? unit_outcome::lost : unit_outcome::too_large, 0);
         return;
     }
     waiting_.push_back(std::move(u));
@@ -196,9 +196,7 @@
         co_await net::sleep_s(c::state_retry_s);
         co_return on_refused(t, batch);
     case txn_outcome::bad:
-        spdlog::error("{}: a transaction was refused as malformed: {}", name_, answer.error);
-        tell(batch, unit_outcome::conflict);
-        co_return next_step::settled;
+        co_return co_await on_too_large(t, answer.error, batch);
     case txn_outcome::conflict:
         break;
     }
@@ -236,6 +234,45 @@
     return next_step::settled;
 }
 
+// Guards against a change that is sent and refused for ever once the service takes smaller values
+// or transactions: it is split, and what can't be is refused here from then on.
+awaitable<committer::next_step>
+committer::on_too_large(const transaction &t, const std::string &error, std::vector<unit> &batch) {
+    if (t.unsure) {
+        auto own = co_await find_own_copy(t);
+        if (!own) {
+            tell(batch, unit_outcome::lost);
+            co_return next_step::settled;
+        }
+        if (own->applied) {
+            on_committed(batch, own->revision);
+            co_return next_step::settled;
+        }
+    }
+    if (batch.size() > 1) {
+        while (batch.size() > t.kept_after_refusal) {
+            waiting_.push_front(std::move(batch.back()));
+            batch.pop_back();
+        }
+        co_return next_step::settled;
+    }
+    for (auto &o : batch.front().ops) {
+        if (o.value.empty())
+            continue;
+        spdlog::error("{}: {} with {} bytes is refused: {}", name_, o.key, o.value.size(), error);
+        too_large_[o.key] = o.value.size();
+    }
+    tell(batch, unit_outcome::too_large);
+    co_return next_step::settled;
+}
+
+bool committer::known_too_large(const unit &u) const {
+    return std::any_of(u.ops.begin(), u.ops.end(), [&](const txn_op &o) {
+        auto i = too_large_.find(o.key);
+        return i != too_large_.end() && o.value.size() >= i->second;
+    });
+}
+
 awaitable<committer::next_step> committer::on_conflict(const transaction &t,
                                                        const std::set<std::string> &failed,
                                                        std::vector<unit> &batch) {
--- a/src/store/committer.hpp
+++ b/src/store/committer.hpp
@@ -10,7 +10,12 @@
 
 namespace spindlecroft::store {
 
-enum class unit_outcome { committed, conflict, lost };
+enum class unit_outcome {
+    committed,
+    conflict,
+    lost,
+    too_large, // for the state service, however it is split
+};
 
 struct unit {
     std::vector<txn_condition> when; // on keys that others write too
@@ -65,6 +70,10 @@
     std::optional<transaction> make_transaction(const std::vector<unit> &batch) const;
     // These leave in the batch what has no outcome yet.
     net::awaitable<next_step> send_once(transaction &t, std::vector<unit> &batch);
+    net::awaitable<next_step> on_too_large(const transaction &t, const std::string &error,
+                                           std::vector<unit> &batch);
+    // Whether the service refused as large a value of the unit before.
+    bool known_too_large(const unit &u) const;
     next_step again_if_permitted(std::vector<unit> &batch);
     void on_committed(std::vector<unit> &batch, std::uint64_t revision);
     next_step on_refused(const transaction &t, std::vector<unit> &batch);
@@ -87,6 +96,7 @@
     net::signal wake_;
     std::deque<unit> waiting_;
     std::map<std::string, std::uint64_t> versions_; // of owned keys
+    std::map<std::string, std::size_t> too_large_;  // bytes of the smallest value refused, by key
     bool stopping_ = false;
 };
 
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -24,11 +24,18 @@
 }
 
 state_client::state_client(net::asio::io_context &io, const settings::settings &s)
-    : client_(io, s.state, 8), settings_(s), requests_(1), writes_(1), last_ok_(net::now_s()) {
+    : client_(io, s.state, 8), settings_(s), requests_(1), writes_(1),
+      write_rate_(s.state_write_rps, s.next_state_write_rps), last_ok_(net::now_s()) {
     leading(false);
 }
 
 void state_client::leading(bool yes) {
+    leading_ = yes;
+    set_rates();
+}
+
+void state_client::set_rates() {
+    bool yes = leading_;
     // All nodes together stay below the limits; the leader's part is the larger one.
     auto others = static_cast<double>(std::max<std::size_t>(1, settings_.members.size()));
     double share = settings_.members.empty() ? 1.0
@@ -39,7 +46,7 @@
                        (settings_.members.empty() ? 1.0
                         : yes                     ? floor
                                                   : 0.5 / others));
-    writes_.set_rate(std::max(2.0, c::state_share * settings_.state_write_rps * share));
+    writes_.set_rate(std::max(2.0, c::state_share * write_rate_.limit() * share));
 }
 
 bool write_line::may_go(ticket t, urgency u, double now) const {
@@ -97,7 +104,7 @@
         if (r.status == 429) {
             requests_.drain();
             if (writes > 0)
-                writes_.drain();
+                on_too_many_writes();
         } else if (r.status == 503) {
             failed_since_ok_ = true;
         } else {
@@ -110,6 +117,14 @@
     co_return r;
 }
 
+void state_client::on_too_many_writes() {
+    if (write_rate_.refused(net::now_s())) {
+        spdlog::info("the state service allows {} changes a second now", write_rate_.limit());
+        set_rates();
+    }
+    writes_.drain();
+}
+
 bool state_client::serving(double now) const {
     return !failed_since_ok_ && silence(now) < c::served_s;
 }
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -1,6 +1,7 @@
 // The client of the state service: a request budget with priorities, and the calls of its protocol.
 #pragma once
 #include "net/http.hpp"
+#include "store/write_rate.hpp"
 #include "wire/codec.hpp"
 #include <list>
 #include <optional>
@@ -78,6 +79,8 @@
     // Whether it serves this node as far as known: it answered of late, and nothing failed since.
     bool serving(double now) const;
     void leading(bool yes); // the leader may use more of the budget
+    // Changes a second that the service allows all controllers together.
+    double write_limit() const { return write_rate_.limit(); }
     std::uint64_t requests = 0, writes = 0;
 
   private:
@@ -87,7 +90,11 @@
                                     net::permission permitted = {});
     net::client client_;
     const settings::settings &settings_;
+    void set_rates();
+    void on_too_many_writes();
     budget requests_, writes_;
+    write_rate write_rate_;
+    bool leading_ = false;
     write_line line_;
     double last_ok_;
     bool failed_since_ok_ = false; // refused or without an answer
--- /dev/null
+++ b/src/store/write_rate.cpp
@@ -0,0 +1,23 @@
+#include "store/write_rate.hpp"
+#include "constants.hpp"
+
+namespace spindlecroft::store {
+
+namespace c = constants;
+
+// A single refusal may come of controllers that were busy in the same second.
+bool write_rate::refused(double now) {
+    if (!next_)
+        return false;
+    if (now - window_began_ > c::refusal_window_s) {
+        window_began_ = now;
+        refusals_ = 0;
+    }
+    if (++refusals_ < c::refusals_for_next_limit)
+        return false;
+    limit_ = *next_;
+    next_.reset();
+    return true;
+}
+
+} // namespace spindlecroft::store
--- /dev/null
+++ b/src/store/write_rate.hpp
@@ -0,0 +1,24 @@
+// The changes a second that the state service allows: the present limit, until refusals show that
+// the coming one is in force. Pure.
+#pragma once
+#include <optional>
+
+namespace spindlecroft::store {
+
+class write_rate {
+  public:
+    // next: a smaller limit that comes without notice; nothing: none does.
+    write_rate(double present, std::optional<double> next) : limit_(present), next_(next) {}
+    double limit() const { return limit_; }
+    // The service refused a change because there were too many. True: the limit is smaller now, for
+    // good.
+    bool refused(double now);
+
+  private:
+    double limit_;
+    std::optional<double> next_;
+    int refusals_ = 0;           // within the window that began at
+    double window_began_ = -1e9; // s
+};
+
+} // namespace spindlecroft::store
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -767,6 +767,13 @@
     return json::serialize(o);
 }
 
+std::size_t rental_bytes(const rental &r) {
+    if (r.request.empty())
+        return encode_rental_record({}).size() + 24; // the time, in digits
+    // Quotes, commas and brackets, the flag and a count of a few digits.
+    return r.request.size() + r.type.size() + r.zone.size() + 24;
+}
+
 rental_record parse_rental_record(const std::string &value) {
     auto o = parse_object(value);
     rental_record r;
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -138,6 +138,8 @@
     double at = 0; // s, time of day
 };
 std::string encode_rental_record(const rental_record &r);
+// What one more request adds to the record, at most; one without a name: the record without any.
+std::size_t rental_bytes(const rental &r);
 rental_record parse_rental_record(const std::string &value);
 
 // --- between our own processes: CBOR maps of text to integers, texts and lists of cancels ---
--- /dev/null
+++ b/tests/limits_test.cpp
@@ -0,0 +1,278 @@
+// The state service's limits shrink without notice, and what an earlier version wrote is larger.
+#include "catalog/cancelled_record.hpp"
+#include "constants.hpp"
+#include "state_stand_in.hpp"
+#include "store/committer.hpp"
+#include "store/write_rate.hpp"
+#include "trace_runner.hpp"
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+using namespace spindlecroft;
+using store::unit_outcome;
+namespace c = constants;
+
+namespace {
+
+std::size_t record_limit(const settings::settings &s) {
+    return static_cast<std::size_t>(s.value_kb * 1024);
+}
+
+worker_report report_of(const std::string &machine, const std::string &type,
+                        const std::string &zone) {
+    worker_report r{machine, "10.0.0.1:1", type, zone, false, 0, 0, 0, {}, {}};
+    r.session = r.seq = 1;
+    return r;
+}
+
+struct committing {
+    net::asio::io_context io;
+    settings::settings conf = test::small_settings();
+    test::state_stand_in state{io, conf};
+    store::committer commits{io, state, conf, "test"};
+    std::map<std::string, unit_outcome> told;
+
+    committing() { net::spawn(io, commits.run(), "commits"); }
+    void write(const std::string &key, std::size_t bytes) {
+        store::unit u;
+        u.owned = true;
+        u.ops = {{key, fmt::format("\"{}\"", std::string(bytes, 'x')), 0}};
+        u.result = [this, key](unit_outcome how, std::uint64_t) { told[key] = how; };
+        commits.submit(std::move(u));
+    }
+    bool until(std::size_t outcomes) {
+        double limit = net::now_s() + 10;
+        while (told.size() < outcomes && net::now_s() < limit)
+            io.run_one_for(net::seconds(0.05));
+        return told.size() >= outcomes;
+    }
+};
+
+} // namespace
+
+TEST(limits, a_transaction_that_is_too_large_is_split) {
+    committing c;
+    c.state.most_ops = 2;
+    for (int i = 0; i < 12; ++i)
+        c.write(fmt::format("p/{}", i), 10);
+    ASSERT_TRUE(c.until(12));
+    for (auto &[key, how] : c.told)
+        EXPECT_EQ(how, unit_outcome::committed) << key;
+    EXPECT_EQ(c.state.keys.size(), 12u);
+}
+
+// Guards against a change that is sent and refused for ever, and that takes others with it.
+TEST(limits, a_value_that_is_too_large_is_refused_once_and_alone) {
+    committing c;
+    c.state.most_value_bytes = 100;
+    c.write("p/large", 200);
+    c.write("p/small", 10);
+    ASSERT_TRUE(c.until(2));
+    EXPECT_EQ(c.told.at("p/large"), unit_outcome::too_large);
+    EXPECT_EQ(c.told.at("p/small"), unit_outcome::committed);
+    auto refusals = c.state.refused_as_too_large.size();
+    auto commits = c.state.commits;
+    c.told.clear();
+    c.write("p/large", 200);
+    ASSERT_TRUE(c.until(1));
+    EXPECT_EQ(c.told.at("p/large"), unit_outcome::too_large);
+    EXPECT_EQ(c.state.refused_as_too_large.size(), refusals) << "it is not sent again";
+    EXPECT_EQ(c.state.commits, commits);
+    c.told.clear();
+    c.write("p/large", 50);
+    ASSERT_TRUE(c.until(1));
+    EXPECT_EQ(c.told.at("p/large"), unit_outcome::committed);
+}
+
+TEST(limits, the_smaller_rate_holds_for_good_once_it_shows) {
+    store::write_rate rate(20, 15);
+    EXPECT_FALSE(rate.refused(0)) << "one refusal may have other reasons";
+    EXPECT_FALSE(rate.refused(30));
+    EXPECT_FALSE(rate.refused(31));
+    EXPECT_EQ(rate.limit(), 20);
+    EXPECT_TRUE(rate.refused(32));
+    EXPECT_EQ(rate.limit(), 15);
+    EXPECT_FALSE(rate.refused(33));
+    EXPECT_EQ(rate.limit(), 15);
+    store::write_rate steady(20, {});
+    for (int i = 0; i < 50; ++i)
+        EXPECT_FALSE(steady.refused(i * 0.1));
+    EXPECT_EQ(steady.limit(), 20);
+}
+
+TEST(limits, a_cancel_fits_however_long_the_job_was) {
+    auto spec = test::small_job("job-1");
+    spec.types = std::vector<std::string>(300, "a_type_of_machine");
+    spec.predecessors = std::vector<std::string>(100, "job-000002");
+    spec.zone = std::string(200, 'z');
+    spec.image = std::string(200, '\x01'); // six bytes each in JSON
+    auto record = catalog::cancelled_record({false, 5, 0, spec}, 9, 2048);
+    auto value = wire::encode_job_record(record);
+    EXPECT_LE(value.size(), 2048u);
+    auto read = wire::parse_job_record(value);
+    EXPECT_TRUE(read.cancelled);
+    EXPECT_EQ(read.cancelled_at, 9);
+    EXPECT_EQ(read.spec.id, "job-1");
+    EXPECT_EQ(read.spec.tasks, spec.tasks);
+    // Where there is room, nothing is left out.
+    auto small = test::small_job("job-1");
+    small.types = {"large"};
+    auto whole = catalog::cancelled_record({false, 5, 0, small}, 9, 2048);
+    EXPECT_EQ(whole.spec.types, small.types);
+}
+
+// An earlier version filled a record of done tasks up to limits that are no longer in force.
+TEST(limits, a_large_record_of_done_tasks_is_not_written_again) {
+    auto conf = test::small_settings();
+    conf.value_kb = 2;
+    control::engine core(conf, test::small_types());
+    core.begin(0, 5, 0);
+    std::vector<wire::done_part> parts;
+    for (int n = 0; n < 100; ++n) {
+        auto id = fmt::format("job-{}", n);
+        wire::job_record r;
+        r.spec = test::small_job(id);
+        r.spec.tasks = 100;
+        r.spec.cpus = 1;
+        core.load_job(id, r, static_cast<std::uint64_t>(n) + 1, 0);
+        wire::done_part part{id, 0, std::vector<bool>(100, false)};
+        part.bits[7] = true;
+        parts.push_back(part);
+    }
+    ASSERT_GT(wire::encode_done(parts).size(), record_limit(conf));
+    core.load_done("4-1", parts);
+    core.loaded(0);
+    auto r = report_of("i-1", "large", "a");
+    r.session = r.seq = 1;
+    for (int n = 0; n < 100; ++n)
+        r.tasks.push_back(
+            {fmt::format("job-{}", n), 9, 77, task_state::exited, exit_cause::done, false});
+    core.on_report(r, 1);
+    std::set<std::string> told;
+    for (double now = 1; now < 20; now += 0.5) {
+        core.tick(now);
+        for (auto &w : core.take_writes(now)) {
+            for (auto &o : w.ops) {
+                EXPECT_LE(o.value.size(), record_limit(conf)) << o.key;
+                EXPECT_NE(o.key, "d/4-1");
+            }
+            if (w.kind == control::write_kind::done)
+                for (auto &part : wire::parse_done(w.ops.front().value))
+                    if (part.bits.at(9)) {
+                        EXPECT_TRUE(part.bits.at(7)) << "what was done before is there too";
+                        told.insert(part.job);
+                    }
+            core.on_written(w, true, 50, now);
+        }
+    }
+    EXPECT_EQ(told.size(), 100u);
+}
+
+// Limits shrink in the middle of a takeover: whatever the next leader writes is within them.
+TEST(limits, everything_a_leader_writes_is_within_the_smaller_limits) {
+    auto conf = test::small_settings();
+    conf.value_kb = 2;
+    conf.txn_ops = 4;
+    control::engine core(conf, test::small_types());
+    core.begin(0, 5, 0);
+    std::vector<wire::placed_task> placed;
+    for (std::uint32_t n = 0; n < 200; ++n)
+        placed.push_back({"job-1", n, (4ull << 20) + n, fmt::format("i-{}", n)});
+    for (int n = 1; n <= 40; ++n) {
+        auto id = fmt::format("job-{}", n);
+        wire::job_record r;
+        r.spec = test::small_job(id);
+        r.spec.tasks = 300;
+        core.load_job(id, r, static_cast<std::uint64_t>(n), 0);
+    }
+    ASSERT_GT(wire::encode_placed(placed).size(), record_limit(conf));
+    core.load_placed("4-1", placed, 0);
+    core.loaded(0);
+    std::size_t writes = 0;
+    std::uint64_t seq = 0;
+    for (double now = 1; now < 60; now += 0.5) {
+        ++seq;
+        for (int n = 0; n < 300; ++n) {
+            auto r = report_of(fmt::format("i-{}", n), "large", n % 2 ? "a" : "b");
+            r.session = 1;
+            r.seq = seq;
+            r.token = 5;
+            core.on_report(r, now);
+        }
+        core.tick(now);
+        for (auto &w : core.take_writes(now)) {
+            ++writes;
+            EXPECT_LE(w.ops.size(), static_cast<std::size_t>(conf.txn_ops));
+            EXPECT_LE(w.when.size() + w.ops.size() + 1, 4 * static_cast<std::size_t>(conf.txn_ops));
+            for (auto &o : w.ops)
+                EXPECT_LE(o.value.size(), record_limit(conf)) << o.key;
+            core.on_written(w, true, 50 + writes, now);
+        }
+    }
+    EXPECT_GT(writes, 20u);
+}
+
+// About 4,000 machines with work on all of them change hands: none is taken for gone, every task is
+// counted as possibly running until its machine has reported, and there is room to rent half as
+// many again.
+TEST(limits, a_takeover_with_four_thousand_machines) {
+    constexpr int machines = 4000;
+    auto conf = test::small_settings();
+    ASSERT_GE(conf.ops.fleet_limit, machines * 3 / 2);
+    control::engine core(conf, test::small_types());
+    core.begin(0, 9, 0);
+    wire::job_record job;
+    job.spec = test::small_job("job-1");
+    job.spec.tasks = 2 * machines;
+    core.load_job("job-1", job, 1, 0);
+    std::vector<host> hosts;
+    std::vector<wire::placed_task> placed;
+    auto name = [](int n) { return fmt::format("i-{:06}", n); };
+    for (int n = 0; n < machines; ++n) {
+        placed.push_back({"job-1", static_cast<std::uint32_t>(n),
+                          (5ull << 20) + static_cast<std::uint64_t>(n), name(n)});
+        hosts.push_back(
+            {name(n), "10.0.0.1:1", "small", n % 2 ? "a" : "b", true, host::stage::running, 100});
+    }
+    core.load_placed("5-1", placed, 0);
+    core.loaded(0);
+    core.on_hosts(hosts, 0.5, 0.5);
+    double now = 1;
+    std::size_t deleted = 0, started = 0;
+    auto report = [&](int n, std::uint64_t seq) {
+        auto r = report_of(name(n), "small", n % 2 ? "a" : "b");
+        r.spot = true;
+        r.session = 1;
+        r.seq = seq;
+        r.token = seq > 1 ? 9 : 5;
+        r.tasks.push_back({"job-1", static_cast<std::uint32_t>(n),
+                           (5ull << 20) + static_cast<std::uint64_t>(n), task_state::running,
+                           exit_cause::none, false});
+        core.on_report(r, now);
+        for (auto &o : core.orders_in_answer(r.machine, now))
+            started += o.kind == order_kind::start;
+        core.answered(r.machine, control::engine::report_age::fresh, now);
+    };
+    for (std::uint64_t seq = 1; seq <= 4; ++seq, now += 3) {
+        for (int n = 0; n < machines; ++n)
+            report(n, seq);
+        core.tick(now);
+        deleted += core.take_deletions(now).size();
+        for (auto &w : core.take_writes(now))
+            core.on_written(w, true, 50, now);
+    }
+    EXPECT_EQ(core.machines().size(), static_cast<std::size_t>(machines));
+    EXPECT_EQ(deleted, 0u);
+    EXPECT_EQ(started, 0u) << "every machine is full";
+    EXPECT_EQ(core.find_job("job-1")->running(), static_cast<std::uint32_t>(machines));
+    int rented = 0;
+    for (int round = 0; round < 20; ++round, now += 2) {
+        core.tick(now);
+        for (auto &w : core.take_writes(now))
+            core.on_written(w, true, 50, now);
+        for (auto &q : core.take_rentals(now))
+            rented += q.count;
+    }
+    EXPECT_GE(rented, machines / 2);
+}
--- a/tests/state_stand_in.hpp
+++ b/tests/state_stand_in.hpp
@@ -22,6 +22,8 @@
     };
     std::deque<fate> next_commits; // of the transactions to come; then all are answered
     bool outage = false;
+    std::size_t most_value_bytes = 64 * 1024, most_ops = 64; // of a transaction; beyond: 400
+    std::vector<std::string> refused_as_too_large;           // keys, one for each transaction
     // Called between the decision to send a transaction and its sending.
     std::function<void()> stand_still;
     std::size_t commits = 0;
@@ -142,6 +144,15 @@
                 t.error = "no such lease";
                 return t;
             }
+        bool fits = ops.size() <= most_ops;
+        for (auto &o : ops)
+            fits = fits && o.value.size() <= most_value_bytes;
+        if (!fits) {
+            refused_as_too_large.push_back(ops.front().key);
+            t.how = store::txn_outcome::bad;
+            t.error = "too large";
+            return t;
+        }
         t.how = store::txn_outcome::committed;
         t.revision = ++revision;
         for (auto &o : ops)
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -190,6 +190,32 @@
     }
 }
 
+TEST(settings, coming_limits_are_kept_from_the_start) {
+    auto s = settings::parse(good_settings, "f");
+    EXPECT_EQ(s.next_state_write_rps, std::nullopt);
+    auto next = [](const std::string &fields) {
+        return settings::parse(with(good_settings, "[cluster.cloud]",
+                                    "[cluster.state.next]\n" + fields + "\n[cluster.cloud]"),
+                               "f");
+    };
+    s = next("write_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4");
+    EXPECT_EQ(s.value_kb, 2);
+    EXPECT_EQ(s.txn_ops, 4);
+    EXPECT_EQ(s.state_write_rps, 20);
+    EXPECT_EQ(s.next_state_write_rps, 15);
+    s = next("write_rps = 30.0\nvalue_kb = 64.0");
+    EXPECT_EQ(s.value_kb, 4) << "the smaller of both";
+    EXPECT_EQ(s.txn_ops, 8);
+    EXPECT_EQ(s.next_state_write_rps, std::nullopt);
+    for (auto *field : {"value_kb = 1.0", "txn_ops = 0", "write_rps = \"x\""})
+        try {
+            next(field);
+            ADD_FAILURE() << "accepted: " << field;
+        } catch (const settings::settings_error &e) {
+            EXPECT_TRUE(std::string(e.what()).starts_with("cluster.state.next.")) << e.what();
+        }
+}
+
 TEST(settings, operators_file_is_strict) {
     auto o = settings::parse_operator("(spindlecroft (spare-replicas 3) (spot no))", "f");
     EXPECT_EQ(o.spare_replicas, 3);
