--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -92,7 +92,7 @@
 inline constexpr int watch_hold_ms = 10'000; // ms; a watch without news returns after this
 inline constexpr double write_patience_s =
     0.4; // s; a change that waited so long is not passed by more urgent ones any more
-inline constexpr double state_retry_s = 0.25;     // s; pause after a refusal
+inline constexpr double state_retry_s = 0.25;    // s; pause after a refusal
 inline constexpr double refusal_window_s = 10.0; // s; refusals of changes are counted within it
 inline constexpr int refusals_for_next_limit =
     3; // refusals in the window; they show that the state service has its smaller limit
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -51,7 +51,7 @@
             continue;
         }
         // Shed what is beyond the bound, so that workers and peers keep their sockets.
-        if (open_ >= limits_.connections) {
+        if (*open_ >= limits_.connections) {
             socket.close(ec);
             continue;
         }
@@ -62,9 +62,9 @@
 
 awaitable<void> server::serve(tcp::socket socket) {
     struct count {
-        std::size_t &n;
-        explicit count(std::size_t &c) : n(c) { ++n; }
-        ~count() { --n; }
+        std::shared_ptr<std::size_t> n;
+        explicit count(std::shared_ptr<std::size_t> c) : n(std::move(c)) { ++*n; }
+        ~count() { --*n; }
     } counted(open_);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -35,9 +35,9 @@
            std::string name);
     void start();
     void stop();
-    std::size_t open() const { return open_; }
+    std::size_t open() const { return *open_; }
     // So many connections are open that none should be kept without need.
-    bool crowded() const { return crowded(open_, limits_); }
+    bool crowded() const { return crowded(*open_, limits_); }
     static bool crowded(std::size_t open, const server_limits &l);
 
   private:
@@ -48,7 +48,8 @@
     handler handler_;
     server_limits limits_;
     std::string name_;
-    std::size_t open_ = 0;
+    // Shared with the connections: at the end of the program their coroutines outlive the server.
+    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
     bool stopping_ = false;
 };
 
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -61,10 +61,11 @@
 
 awaitable<void> state_client::admit(urgency u, double writes) {
     struct place {
-        write_line &line;
+        std::shared_ptr<write_line> line;
         write_line::ticket ticket;
-        explicit place(write_line &l) : line(l), ticket(l.enter(net::now_s())) {}
-        ~place() { line.leave(ticket); }
+        explicit place(std::shared_ptr<write_line> l)
+            : line(std::move(l)), ticket(line->enter(net::now_s())) {}
+        ~place() { line->leave(ticket); }
     };
     std::optional<place> in_line;
     if (writes > 0)
@@ -80,8 +81,8 @@
         auto rank = u;
         bool turn = true;
         if (in_line) {
-            rank = line_.rank_of(in_line->ticket, u, now);
-            turn = line_.may_go(in_line->ticket, u, now);
+            rank = line_->rank_of(in_line->ticket, u, now);
+            turn = line_->may_go(in_line->ticket, u, now);
         }
         if (turn && (writes <= 0 || writes_.take(writes, rank, now))) {
             while (!requests_.take(1, rank, net::now_s()))
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -4,6 +4,7 @@
 #include "store/write_rate.hpp"
 #include "wire/codec.hpp"
 #include <list>
+#include <memory>
 #include <optional>
 
 namespace spindlecroft::store {
@@ -95,7 +96,8 @@
     budget requests_, writes_;
     write_rate write_rate_;
     bool leading_ = false;
-    write_line line_;
+    // Shared with those who wait: at the end of the program their coroutines outlive the client.
+    std::shared_ptr<write_line> line_ = std::make_shared<write_line>();
     double last_ok_;
     bool failed_since_ok_ = false; // refused or without an answer
 };
