--- a/src/control/engine_plan.cpp
+++ b/src/control/engine_plan.cpp
@@ -384,6 +384,10 @@
         if (!a.present() || a.stop_wanted || o.cpus < s.cpus || o.gpus < s.gpus ||
             o.memory_gb < s.memory_gb || beyond(o.team) < o.cpus)
             continue;
+        // Guards against work that is stopped twice: idle work that took the room of other work has
+        // to make room for the same work in turn.
+        if (s.rank == priority::low && o.rank != priority::low)
+            continue;
         auto at = bidders_.find(a.machine);
         if (at == bidders_.end() || !places[at->second.place] || !at->second.m->takes_work(now) ||
             failures_.failed_on(s.id, a.machine))
