--- /dev/null
+++ b/src/control/cloud_duties.cpp
@@ -0,0 +1,109 @@
+// Renting, returning and listing machines at the cloud, for a leader.
+#include "constants.hpp"
+#include "control/leadership.hpp"
+
+namespace spindlecroft::control {
+
+namespace c = constants;
+using net::awaitable;
+using net::now_s;
+
+awaitable<net::reply> controller::cloud_call(std::shared_ptr<leadership> l, std::string method,
+                                             std::string target, std::string body) {
+    while (!cloud_budget_.take(1, store::urgency::leadership, now_s()))
+        co_await net::sleep_s(0.05);
+    // Guards against a leader that stood still, or waited for the cloud's limit, and is none any
+    // more: it would delete machines that the next one uses.
+    if (!in_charge(l))
+        co_return net::reply{};
+    net::permission permitted = [this, l] { return in_charge(l); };
+    auto r = co_await cloud_.call(std::move(method), std::move(target), std::move(body),
+                                  c::cloud_timeout_s, false, std::move(permitted));
+    if (r.how == net::outcome::answered && r.status == 429)
+        cloud_budget_.drain();
+    co_return r;
+}
+
+awaitable<void> controller::watch_cloud(std::shared_ptr<leadership> l) {
+    double next_types = now_s() + c::types_refresh_s;
+    while (in_charge(l)) {
+        double asked = now_s();
+        std::vector<host> hosts;
+        std::string after;
+        bool whole = false;
+        while (in_charge(l)) {
+            auto r = co_await cloud_call(l, "GET", wire::hosts_target(after, c::host_page), "");
+            if (!r.ok())
+                break;
+            try {
+                auto page = wire::parse_hosts(r.body);
+                hosts.insert(hosts.end(), page.hosts.begin(), page.hosts.end());
+                if (!page.more || page.hosts.empty()) {
+                    whole = true;
+                    break;
+                }
+                after = page.hosts.back().id;
+            } catch (const wire::bad_message &e) {
+                spdlog::warn("machine list: {}", e.what());
+                break;
+            }
+        }
+        if (whole && in_charge(l)) {
+            l->core->on_hosts(hosts, asked, now_s());
+            l->wake.notify();
+        }
+        if (now_s() > next_types) {
+            next_types = now_s() + c::types_refresh_s;
+            auto r = co_await cloud_call(l, "GET", wire::path_types, "");
+            if (r.ok() && in_charge(l)) {
+                try {
+                    auto t = wire::parse_types(r.body);
+                    if (!t.empty())
+                        l->core->on_types(std::move(t));
+                } catch (const wire::bad_message &e) {
+                    spdlog::warn("machine types: {}", e.what());
+                }
+            }
+        }
+        co_await net::sleep_s(c::hosts_poll_s);
+    }
+}
+
+awaitable<void> controller::rent(std::shared_ptr<leadership> l, rental r) {
+    if (!in_charge(l))
+        co_return;
+    auto a = co_await cloud_call(l, "POST", wire::path_hosts, wire::encode_rental(r));
+    if (!in_charge(l))
+        co_return;
+    try {
+        bool refused =
+            a.how == net::outcome::answered &&
+            (a.status == 400 || (a.status == 503 && a.body.find("capacity") != std::string::npos));
+        if (a.ok())
+            l->core->on_rented(r.request, wire::parse_rented(a.body), now_s());
+        else if (refused)
+            l->core->on_rent_refused(r.request, now_s());
+        else
+            l->core->on_rent_unsure(r.request, now_s());
+    } catch (const wire::bad_message &e) {
+        spdlog::warn("renting: {}", e.what());
+        l->core->on_rent_unsure(r.request, now_s());
+    }
+    l->wake.notify();
+}
+
+awaitable<void> controller::remove(std::shared_ptr<leadership> l, std::vector<std::string> names) {
+    auto a = co_await cloud_call(l, "POST", wire::path_hosts_delete, wire::encode_delete(names));
+    if (l->over || !l->core)
+        co_return;
+    if (a.ok()) {
+        l->core->on_deleted(names, now_s());
+    } else {
+        co_await net::sleep_s(1.0);
+        if (!l->over && l->core)
+            l->core->on_delete_failed(names);
+    }
+    l->wake.notify();
+}
+
+} // namespace spindlecroft::control
--- /dev/null
+++ b/src/control/user_requests.cpp
@@ -0,0 +1,155 @@
+// Users' questions and cancels. Submissions have a file of their own.
+#include "catalog/cancelled_record.hpp"
+#include "constants.hpp"
+#include "control/answers.hpp"
+#include "control/leadership.hpp"
+
+namespace spindlecroft::control {
+
+namespace c = constants;
+using net::awaitable;
+using net::now_s;
+using net::response;
+
+// Guards against a user who stays with a node that can't read: the load balancer moves no open
+// connection, so every question on it would fail while other nodes answer.
+response controller::cut_off() const {
+    auto r = unsure("the state service does not answer");
+    r.close = state_.silence(now_s()) > c::state_timeout_s;
+    return r;
+}
+
+awaitable<std::optional<store::unit_outcome>> controller::commit(store::unit u, double limit_s) {
+    struct shared {
+        explicit shared(net::asio::io_context &io) : signal(io) {}
+        net::signal signal;
+        std::optional<store::unit_outcome> how;
+    };
+    auto s = std::make_shared<shared>(io_);
+    u.result = [s, noted = std::move(u.noted)](store::unit_outcome how, std::uint64_t revision) {
+        if (noted && how == store::unit_outcome::committed)
+            noted(revision);
+        s->how = how;
+        s->signal.notify();
+    };
+    double limit = now_s() + limit_s;
+    u.give_up_at = limit; // its user is told 503 then, and asks again
+    user_commits_.submit(std::move(u));
+    while (!s->how && now_s() < limit)
+        co_await s->signal.wait_for(limit - now_s());
+    co_return s->how;
+}
+
+awaitable<std::optional<std::optional<job_status>>> controller::current(std::string id) {
+    using result = std::optional<std::optional<job_status>>;
+    // What has ended stays as it ended: no read is needed.
+    if (auto e = cache_.ended(id)) {
+        job_status s;
+        s.id = id;
+        s.stage = e->stage;
+        s.done = e->done;
+        co_return result(s);
+    }
+    if (!co_await cache_.catch_up(1.5))
+        co_return std::nullopt;
+    if (!co_await cache_.resolve_predecessors(id))
+        co_return std::nullopt;
+    job_status s;
+    s.id = id;
+    if (auto *j = cache_.active(id)) {
+        bool with_predecessor = cache_.dependencies().of(id) == catalog::standing::cancelled;
+        if (j->record.cancelled || with_predecessor) {
+            s.stage = job_stage::cancelled;
+            co_return result(s);
+        }
+        std::optional<engine::progress> p;
+        if (lead_ && lead_->core) {
+            p = lead_->core->job_progress(id);
+        } else {
+            auto i = progress_.find(id);
+            if (i != progress_.end())
+                p = i->second;
+            if (!progress_busy_ && now_s() - progress_at_ > c::progress_gap_s)
+                net::spawn(io_, fetch_progress(), "progress");
+        }
+        if (p) {
+            s.done = p->done;
+            s.running = p->running;
+        }
+        s.stage = s.running > 0 ? job_stage::running : job_stage::pending;
+        co_return result(s);
+    }
+    auto e = cache_.ended(id);
+    if (!e && cache_.known_absent(id))
+        co_return result(std::in_place, std::nullopt);
+    if (!e) {
+        auto read = co_await cache_.read_ended(id);
+        if (!read)
+            co_return std::nullopt;
+        if (!*read) {
+            // Neither active at the shared read nor ended after it: never accepted then. Unless
+            // the watch has it by now.
+            if (cache_.active(id))
+                co_return std::nullopt;
+            co_return result(std::in_place, std::nullopt);
+        }
+        e = **read;
+    }
+    s.stage = e->stage;
+    s.done = e->done;
+    co_return result(s);
+}
+
+awaitable<response> controller::on_poll(std::string id) {
+    if (!wire::valid_job_id(id))
+        co_return error(404, "no such job");
+    if (!cache_.loaded())
+        co_return unsure("starting");
+    auto s = co_await current(id);
+    if (!s)
+        co_return cut_off();
+    if (!*s)
+        co_return error(404, "no such job");
+    co_return response{200, wire::encode_status(**s), 0, false};
+}
+
+awaitable<response> controller::on_cancel(std::string id) {
+    if (!wire::valid_job_id(id))
+        co_return error(404, "no such job");
+    if (!cache_.loaded() || user_commits_.full())
+        co_return unsure("starting");
+    double limit = now_s() + c::user_request_s;
+    while (now_s() < limit - 1.5) {
+        auto s = co_await current(id);
+        if (!s)
+            co_return cut_off();
+        if (!*s)
+            co_return error(404, "no such job");
+        if ((*s)->stage == job_stage::done || (*s)->stage == job_stage::cancelled)
+            co_return response{200, wire::encode_accepted(id, (*s)->stage), 0, false};
+        auto *j = cache_.active(id);
+        if (!j)
+            continue;
+        auto record = catalog::cancelled_record(j->record, wall_s(), settings_.value_bytes());
+        store::unit u;
+        u.rank = store::urgency::cancel;
+        u.when = {{active_key(id), j->version}};
+        u.ops = {{active_key(id), wire::encode_job_record(record), 0}};
+        // Durable first, then known to whoever may renew leases, then told: also where the answer
+        // from the state service comes after the user has gone.
+        u.noted = [this, id, at = record.cancelled_at](std::uint64_t revision) {
+            cancel_notice n{id, revision, at};
+            member_.note_cancel(n);
+            obey_cancel(n);
+        };
+        auto how = co_await commit(std::move(u), std::max(0.2, limit - now_s()));
+        if (how == store::unit_outcome::committed) {
+            co_return response{200, wire::encode_accepted(id, job_stage::cancelled), 0, false};
+        }
+        if (how != store::unit_outcome::conflict)
+            break;
+    }
+    co_return cut_off();
+}
+
+} // namespace spindlecroft::control
