--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -276,3 +276,31 @@
     }
     EXPECT_GE(rented, machines / 2);
 }
+
+// Guards against placements that take every change the service allows while the queues of many jobs
+// drain: a write names as many jobs as its conditions allow, and takes all tasks of each.
+TEST(limits, a_placement_write_covers_all_tasks_of_as_many_jobs_as_it_may_name) {
+    auto conf = test::small_settings();
+    conf.txn_ops = 4;
+    control::engine core(conf, test::small_types());
+    core.begin(0, 5, 0);
+    core.loaded(0);
+    for (int n = 0; n < 60; ++n)
+        core.on_report(report_of(fmt::format("i-{}", n), "small", n % 2 ? "a" : "b"), 1);
+    for (int n = 0; n < 20; ++n) {
+        auto id = fmt::format("job-{}", n);
+        wire::job_record r;
+        r.accepted_at = 1;
+        r.spec = test::small_job(id);
+        r.spec.tasks = 3;
+        core.on_job(id, r, static_cast<std::uint64_t>(n) + 1, 1);
+    }
+    core.tick(2);
+    std::vector<control::durable_write> placements;
+    for (auto &w : core.take_writes(2))
+        if (w.kind == control::write_kind::placed)
+            placements.push_back(w);
+    ASSERT_EQ(placements.size(), 1u);
+    EXPECT_EQ(placements.front().when.size(), 14u) << "with the fence and the record 16 conditions";
+    EXPECT_EQ(placements.front().attempts.size(), 42u);
+}
