--- a/src/control/engine_records.cpp
+++ b/src/control/engine_records.cpp
@@ -26,7 +26,8 @@
 
 void engine::write_placements(std::vector<durable_write> &out, double now) {
     std::size_t most_bytes = std::min(most_record_bytes(), c::txn_bytes);
-    // Four conditions for each change that a transaction may hold, less the fence's and the record's.
+    // Four conditions for each change that a transaction may hold, less the fence's and the
+    // record's.
     std::size_t most_jobs = static_cast<std::size_t>(std::max(1, 4 * settings_.txn_ops - 2));
     for (int kind = 0; kind < 2; ++kind) {
         auto &waiting = unplaced_[kind];
@@ -73,8 +74,8 @@
                     continue;
                 }
                 wire::placed_task t{ref.job, ref.index, i->second.number, i->second.machine};
-                // Guards against writes that cover a few tasks each while queues of many jobs drain:
-                // a write takes every task of as many jobs as it may name.
+                // Guards against writes that cover a few tasks each while queues of many jobs
+                // drain: a write takes every task of as many jobs as it may name.
                 if (!jobs.count(ref.job) && jobs.size() >= most_jobs) {
                     later.push_back(ref);
                     waiting.pop_front();
