--- a/review/stand_ins/cloud.hpp
+++ b/review/stand_ins/cloud.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace review {
 
@@ -24,7 +25,10 @@
         time_point rented_at;
     };
     explicit cloud(world &around);
+    /// Opens the door of the next controller and returns its address.
     spindlecroft::settings::address open_door();
+    /// Called for each request: the controller, its method, path and body.
+    std::function<void(std::size_t, const net::request &)> on_request;
     /// Puts a machine up at once, as one that was rented before the day.
     void add_running(const std::string &frame, const std::string &zone, bool spot = false);
 
@@ -45,7 +49,7 @@
         time_point at;
         std::map<std::string, machine> machines;
     };
-    awaitable<net::response> serve(net::request received);
+    awaitable<net::response> serve(std::size_t door, net::request received);
     net::response rent(const json::object &request);
     net::response remove(const json::object &request);
     net::response list(const std::string &target);
@@ -56,7 +60,7 @@
     std::string create(const std::string &frame, const std::string &zone, bool spot);
 
     world &world_;
-    std::unique_ptr<net::server> server_;
+    std::vector<std::unique_ptr<net::server>> doors_;
     std::map<std::string, json::array> answered_; // by hire
     std::deque<listing> history_;
     rate_bucket requests_;
--- a/review/stand_ins/worker.cpp
+++ b/review/stand_ins/worker.cpp
@@ -282,6 +282,8 @@
         changed();
     }
     execute(body.at("orders").as_array());
+    if (on_command)
+        on_command(received.body);
     if (is_late)
         co_await net::sleep_for(seconds{600});
     co_return answer_of(200, report());
--- a/review/stand_ins/worker.hpp
+++ b/review/stand_ins/worker.hpp
@@ -41,6 +41,9 @@
     bool hanging = false; // executes nothing until this is false again
     std::function<seconds()> command_delay; // direct commands are executed this late, unanswered
 
+    /// Called with the body of each direct command that was executed.
+    std::function<void(const std::string &)> on_command;
+
     std::string name, frame, zone, address;
     bool spot = false;
     std::size_t node = 0;
