--- a/review/stand_ins/world.cpp
+++ b/review/stand_ins/world.cpp
@@ -2,6 +2,7 @@
 #include "stand_ins/worker.hpp"
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -338,11 +339,14 @@
             failure = error.what();
         }
     });
+    net::asio::signal_set signals(io, SIGINT, SIGTERM); // so that no controller is left behind
+    bool interrupted = false;
+    signals.async_wait([&](auto failed, int) { interrupted = !failed; });
     auto until = steady_now() + limit;
-    while (!ended && steady_now() < until)
+    while (!ended && !interrupted && steady_now() < until)
         io.run_one_for(std::chrono::milliseconds(100));
     if (!ended)
-        failure = "the time limit of the case has passed";
+        failure = interrupted ? "it was interrupted" : "the time limit of the case has passed";
     for (std::size_t node = 0; node < controllers.size(); ++node)
         for (std::string line, text = log_of(node); !text.empty();) {
             auto end = text.find('\n');
@@ -350,7 +354,7 @@
             text = end == std::string::npos ? "" : text.substr(end + 1);
         }
     over_ = true;
-    int status = !violations_.empty() ? 1 : failure.empty() ? 0 : 2;
+    int status = interrupted ? 2 : !violations_.empty() ? 1 : failure.empty() ? 0 : 2;
     note(failure.empty() ? "the script ended" : "the script failed: " + failure);
     note(fmt::format("exit status {}, {} violations", status, violations_.size()));
     std::cout << (status == 0   ? "held"
