--- a/src/reconciliation/command_composer.cpp
+++ b/src/reconciliation/command_composer.cpp
@@ -2,6 +2,7 @@
 #include "reconciliation/command_composer.hpp"
 #include "constants.hpp"
 #include <algorithm>
+#include <spdlog/spdlog.h>
 #include <utility>
 
 namespace spindlecroft::reconciliation {
@@ -14,6 +15,18 @@
     return {kind, attempt.task.job, attempt.task.index, attempt.number, grace};
 }
 
+const char *name_of(command_kind kind) {
+    switch (kind) {
+    case command_kind::start:
+        return "start";
+    case command_kind::stop:
+        return "stop";
+    case command_kind::remove:
+        return "remove";
+    }
+    return "unknown command";
+}
+
 } // namespace
 
 struct command_composer::composition {
@@ -116,9 +129,20 @@
     }
     auto &commands = composed.commands;
     commands.insert(commands.end(), composed.starts.begin(), composed.starts.end());
+    log_commands(composed);
     return std::move(commands);
 }
 
+void command_composer::log_commands(const composition &composed) const {
+    if (!spdlog::should_log(spdlog::level::debug))
+        return;
+    const auto *channel_name = composed.through == channel::answer ? "answer" : "direct command";
+    for (const auto &each : composed.commands)
+        spdlog::debug("machine {}: {} {}/{} attempt {} in {} under token {}, incarnation {}",
+                      composed.machine.name, name_of(each.kind), each.job, each.index, each.attempt,
+                      channel_name, state_.term().token, composed.machine.incarnation);
+}
+
 void command_composer::add_cleanup(composition &composed, time_point now) const {
     // A start that arrives after the removal of its attempt would start the attempt again.
     bool may_remove = !composed.machine.has_unacknowledged_command(now);
--- a/src/reconciliation/command_composer.hpp
+++ b/src/reconciliation/command_composer.hpp
@@ -50,6 +50,7 @@
 
     std::vector<command> compose(workers::machine &machine, channel through,
                                  start_permission permission, time_point now);
+    void log_commands(const composition &composed) const;
     void add_cleanup(composition &composed, time_point now) const;
     void add_for_attempt(composition &composed, const catalog::job &job,
                          catalog::attempt &attempt) const;
