Remove the record of a directly started attempt only under a higher token

A task that had been stopped on one machine and ran on another was started again on the first one, by a late copy of the command that had started it there, after its controller had ended and before the next leader's token had reached the worker (about 4 s).

Cause: a worker ignores a repeated start only while it has the attempt's record ("every command may be repeated, with a single exception": after the reap the start runs the attempt anew). The record of an exited attempt was removed as soon as its direct command was answered, under the very token that the command carried. A copy of it passed both checks of the worker, token and session, as long as no higher token was seen. Not only after an end of a controller: any copy of the command did this while the same leader stayed, and for attempts that were stopped, failed, refused or done alike.

Fix: in one place, machine::may_remove_record. The machine keeps the numbers of the attempts that direct commands started under the current token; their records are removed only by messages with a higher token, which refuse all copies. The set is emptied by a raise of the token and by a new incarnation. The leader raises its token when records wait: 6 s after the last raise in a small fleet, up to 30 s in a large one, earlier if one machine has more than 50. A worker whose heartbeat lists exited tasks only counts as one without tasks for the renewal of its lease, so that a kept record can't cost it.

With the guard alone taken out, reconciliation_test.record_of_a_directly_started_attempt_is_kept_until_a_higher_token fails.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -240,6 +240,14 @@
 inline constexpr seconds zone_reconnect_grace{10.0};
 /// Least time between two raises of the fencing token.
 inline constexpr seconds min_token_raise_interval{6.0};
+/// Most heartbeats per second caused by raises that only let records of exited tasks be removed:
+/// every worker that sees a higher token sends one.
+inline constexpr double max_raise_heartbeat_rate = 20.0;
+/// Longest time between two such raises, however large the fleet is.
+inline constexpr seconds max_record_removal_interval{30.0};
+/// Most records of exited tasks that one machine keeps until the next raise; they count toward the
+/// size of its heartbeats.
+inline constexpr std::size_t max_records_awaiting_removal = 50;
 
 // --- bidding ---
 /// Added to a bid that would preempt other work.
--- a/src/control/scheduler.hpp
+++ b/src/control/scheduler.hpp
@@ -110,8 +110,8 @@
     /// Reconciles a heartbeat. reply: it arrived in the response to a direct command, not on its
     /// own.
     heartbeat_age on_heartbeat(const heartbeat &received, time_point now, bool reply = false);
-    /// Returns whether neither the heartbeat nor the state of tasks that may be running on the
-    /// machine names a task.
+    /// Returns whether neither the heartbeat, exited tasks excepted, nor the state of tasks that
+    /// may be running on the machine names a task.
     [[nodiscard]] bool has_no_tasks(const heartbeat &received) const {
         return heartbeats_.has_no_tasks(received);
     }
@@ -188,8 +188,8 @@
     void requeue_urgent_machine(const std::string &machine) {
         state_.mark_for_direct_command(machine);
     }
-    /// Returns whether a higher token is needed to prove that an unresolved command can no longer
-    /// be executed.
+    /// Returns whether a higher token is needed to prove that direct commands, or copies of them,
+    /// can no longer be executed.
     bool needs_token_raise(time_point now) { return commands_.take_token_raise_request(now); }
 
     // --- queries ---
--- a/src/model/cluster_state.cpp
+++ b/src/model/cluster_state.cpp
@@ -27,7 +27,13 @@
     : settings_(settings), types_(std::move(types)) {}
 
 void cluster_state::raise_token(std::uint64_t token) {
-    term_.token = std::max(term_.token, token);
+    if (token <= term_.token)
+        return;
+    term_.token = token;
+    // Every later message carries the new token, and an agent that has seen it refuses the direct
+    // commands of before.
+    for (auto &[name, machine] : machines_)
+        machine.directly_started.clear();
 }
 
 // --- look-ups ---
--- a/src/reconciliation/command_composer.cpp
+++ b/src/reconciliation/command_composer.cpp
@@ -15,6 +15,13 @@
     return {kind, attempt.task.job, attempt.task.index, attempt.number, grace};
 }
 
+// Time between two raises of the token that only let records of exited tasks be removed.
+seconds removal_interval(std::size_t machine_count) {
+    seconds unbounded{static_cast<double>(machine_count) / constants::max_raise_heartbeat_rate};
+    return std::clamp(unbounded, constants::min_token_raise_interval,
+                      constants::max_record_removal_interval);
+}
+
 const char *name_of(command_kind kind) {
     switch (kind) {
     case command_kind::start:
@@ -58,6 +65,7 @@
         if (composed.kind != command_kind::start)
             continue;
         has_starts = true;
+        machine->directly_started.insert(composed.attempt);
         auto *attempt = state_.find_attempt({composed.job, composed.index}, composed.attempt);
         if (attempt && attempt->sent_incarnation == 0) {
             // The start is attributed to this heartbeat until the command is resolved.
@@ -103,16 +111,22 @@
     if (!elapsed(last_token_raise_, constants::min_token_raise_interval, now))
         return false;
     const auto &machines = state_.machines();
+    bool is_removal_due = elapsed(last_token_raise_, removal_interval(machines.size()), now);
+    std::size_t tolerated = is_removal_due ? 0 : constants::max_records_awaiting_removal;
     bool is_wanted = std::any_of(machines.begin(), machines.end(), [&](const auto &entry) {
         const auto &machine = entry.second;
-        return machine.open_direct_commands == 0 && machine.has_unacknowledged_direct_command() &&
-               machine.unresolved_token >= state_.term().token;
+        return needs_token_raise(machine) || machine.records_awaiting_higher_token() > tolerated;
     });
     if (is_wanted)
         last_token_raise_ = now;
     return is_wanted;
 }
 
+bool command_composer::needs_token_raise(const workers::machine &machine) const {
+    return machine.open_direct_commands == 0 && machine.has_unacknowledged_direct_command() &&
+           machine.unresolved_token >= state_.term().token;
+}
+
 std::vector<command> command_composer::compose(workers::machine &machine, channel through,
                                                start_permission permission, time_point now) {
     composition composed{machine, through, permission, resources_after_stops(machine), {}, {}};
@@ -144,12 +158,11 @@
 }
 
 void command_composer::add_cleanup(composition &composed, time_point now) const {
-    // A start that arrives after the removal of its attempt would start the attempt again.
-    bool may_remove = !composed.machine.has_unacknowledged_command(now);
-    if (composed.through != channel::answer && !may_remove)
+    const auto &machine = composed.machine;
+    if (composed.through != channel::answer && machine.has_unacknowledged_command(now))
         return;
-    for (const auto &cleanup : composed.machine.cleanup_commands)
-        if (cleanup.kind != command_kind::remove || may_remove)
+    for (const auto &cleanup : machine.cleanup_commands)
+        if (cleanup.kind != command_kind::remove || machine.may_remove_record(cleanup.attempt, now))
             composed.commands.push_back(cleanup);
 }
 
--- a/src/reconciliation/command_composer.hpp
+++ b/src/reconciliation/command_composer.hpp
@@ -39,8 +39,9 @@
     /// To be called when it is unknown whether a direct command arrived or will arrive.
     void mark_unresolved(const std::string &machine_name, std::uint64_t token,
                          std::uint64_t incarnation);
-    /// Whether the token should be raised, which would invalidate unresolved direct commands. If
-    /// true, the raise counts as done, so that raises are spaced by
+    /// Whether the token should be raised, which would invalidate unresolved direct commands and
+    /// late copies of answered ones, so that the records of their exited attempts may be removed.
+    /// If true, the raise counts as done, so that raises are spaced by
     /// constants::min_token_raise_interval.
     [[nodiscard]] bool take_token_raise_request(time_point now);
 
@@ -50,6 +51,8 @@
 
     std::vector<command> compose(workers::machine &machine, channel through,
                                  start_permission permission, time_point now);
+    /// Whether only a higher token resolves the machine's unresolved direct commands.
+    [[nodiscard]] bool needs_token_raise(const workers::machine &machine) const;
     void log_commands(const composition &composed) const;
     void add_cleanup(composition &composed, time_point now) const;
     void add_for_attempt(composition &composed, const catalog::job &job,
--- a/src/reconciliation/heartbeat_reconciler.cpp
+++ b/src/reconciliation/heartbeat_reconciler.cpp
@@ -29,7 +29,10 @@
 }
 
 bool heartbeat_reconciler::has_no_tasks(const heartbeat &received) const {
-    if (!received.tasks.empty())
+    bool has_exited_only =
+        std::all_of(received.tasks.begin(), received.tasks.end(),
+                    [](const task_status &status) { return status.state == task_state::exited; });
+    if (!has_exited_only)
         return false;
     const auto *machine = state_.find_machine(received.machine);
     if (!machine)
@@ -81,8 +84,10 @@
         machine.idle_since = now;
         state_.request_planning();
     }
-    if (is_new_incarnation)
-        machine.idle_since = now; // it was unreachable, not idle
+    if (is_new_incarnation) {
+        machine.idle_since = now;         // it was unreachable, not idle
+        machine.directly_started.clear(); // it refuses commands for its previous incarnation
+    }
     return is_new_incarnation;
 }
 
--- a/src/reconciliation/heartbeat_reconciler.hpp
+++ b/src/reconciliation/heartbeat_reconciler.hpp
@@ -25,7 +25,8 @@
     /// Applies a heartbeat. One that is not fresh updates only the description of its machine.
     heartbeat_freshness reconcile(const heartbeat &received, heartbeat_origin origin,
                                   time_point now);
-    /// Whether the heartbeat lists no task and no attempt is possibly running on its machine.
+    /// Whether the heartbeat lists no task, exited ones excepted, and no attempt is possibly
+    /// running on its machine.
     [[nodiscard]] bool has_no_tasks(const heartbeat &received) const;
     /// Notes that a heartbeat was answered now, which may have renewed the agent's lease.
     void note_answer(const std::string &machine_name, heartbeat_freshness freshness,
--- a/src/workers/machine.cpp
+++ b/src/workers/machine.cpp
@@ -1,8 +1,18 @@
-// Mirrors the image cache of a machine's agent.
+// A machine's records of exited tasks, and a mirror of its agent's image cache.
 #include "workers/machine.hpp"
+#include <algorithm>
 
 namespace spindlecroft::workers {
 
+std::size_t machine::records_awaiting_higher_token() const {
+    auto count = std::count_if(cleanup_commands.begin(), cleanup_commands.end(),
+                               [&](const command &cleanup) {
+                                   return cleanup.kind == command_kind::remove &&
+                                          directly_started.contains(cleanup.attempt);
+                               });
+    return static_cast<std::size_t>(count);
+}
+
 // The agent evicts the least recently used images when its disk is full; the same rule applies
 // here.
 void machine::note_image_use(const std::string &image, double size_gb, time_point now) {
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -51,6 +51,9 @@
     int open_direct_commands = 0;
     /// The highest token and incarnation of the direct commands whose outcome is unknown.
     std::uint64_t unresolved_token = 0, unresolved_incarnation = 0;
+    /// Attempts whose start was in a direct command under the current fencing token. A copy of an
+    /// answered command may arrive as well, until the agent has seen a higher token.
+    std::set<std::uint64_t> directly_started;
     /// The heartbeat whose answer carried starts and may still be in flight. An agent has only one
     /// heartbeat in flight, so its next one shows that this answer arrived or never will.
     std::uint64_t answer_incarnation = 0, answer_sequence = 0;
@@ -92,11 +95,19 @@
     bool has_unacknowledged_answer(time_point now) const {
         return now < answer_expires_at && incarnation == answer_incarnation;
     }
-    /// Whether a start may still arrive. Meanwhile a task missing from a heartbeat is not proven
-    /// gone, and the records of exited tasks must not be removed from the machine.
+    /// Whether a start that was not executed yet may still arrive. Meanwhile a task missing from a
+    /// heartbeat is not proven gone.
     bool has_unacknowledged_command(time_point now) const {
         return has_unacknowledged_direct_command() || has_unacknowledged_answer(now);
     }
+    /// Whether the agent may be told to remove the record of an exited attempt. An agent ignores a
+    /// repeated start only while it has that record, so no start of the attempt, nor a copy of it,
+    /// may arrive afterwards.
+    bool may_remove_record(std::uint64_t attempt, time_point now) const {
+        return !has_unacknowledged_command(now) && !directly_started.contains(attempt);
+    }
+    /// Counts the exited tasks whose records are kept only because of the current fencing token.
+    std::size_t records_awaiting_higher_token() const;
     /// Whether the machine may be given work at all.
     bool is_usable() const {
         return !is_deleting && !is_quarantined && !reclaim_at && is_type_known &&
--- a/tests/cluster_stand_ins.hpp
+++ b/tests/cluster_stand_ins.hpp
@@ -324,8 +324,11 @@
 // A worker that sends heartbeats to the leader, which it finds by trying the nodes in turn, and
 // executes the commands in the answers.
 struct reporting_worker {
-    explicit reporting_worker(controllers &around) : c(around) {}
+    explicit reporting_worker(controllers &around, std::string machine = "i-000001")
+        : c(around), name(std::move(machine)) {}
     controllers &c;
+    std::string name;
+    std::string address = "127.0.0.1:1"; // no server listens there
     std::size_t node = 0;
     std::uint64_t tally = 0, warrant = 0;
     struct task {
@@ -337,9 +340,7 @@
     // Tasks that were started while another attempt of them was running.
     std::vector<std::string> started_twice;
 
-    // Sends one heartbeat. Returns true if a node answered it with a fencing token that is not
-    // older than the newest one seen.
-    bool report() {
+    std::string make_heartbeat() {
         json::array threads;
         for (auto &[key, present] : tasks) {
             json::object entry{
@@ -348,23 +349,40 @@
                 entry["cause"] = present.cause;
             threads.push_back(entry);
         }
-        json::object checkin{{"spindle", "i-000001"}, {"address", "127.0.0.1:1"},
-                             {"frame", "small"},      {"croft", "a"},
-                             {"loaners", true},       {"shift", 1},
-                             {"tally", ++tally},      {"warrant", warrant},
-                             {"recallS", nullptr},    {"threads", threads}};
-        auto answer = c.call(node, "POST", "/checkin", json::serialize(checkin));
+        return json::serialize(json::object{{"spindle", name},
+                                            {"address", address},
+                                            {"frame", "small"},
+                                            {"croft", "a"},
+                                            {"loaners", true},
+                                            {"shift", 1},
+                                            {"tally", ++tally},
+                                            {"warrant", warrant},
+                                            {"recallS", nullptr},
+                                            {"threads", threads}});
+    }
+
+    // Sends one heartbeat. Returns true if a node answered it with a fencing token that is not
+    // older than the newest one seen.
+    bool report() {
+        auto answer = c.call(node, "POST", "/checkin", make_heartbeat());
         if (answer.status != 200) {
             node = (node + 1) % 3;
             return false;
         }
-        auto body = json::parse(answer.body);
-        auto token = body.at("warrant").to_number<std::uint64_t>();
+        if (!execute(json::parse(answer.body).as_object()))
+            return false;
+        ++answers;
+        return true;
+    }
+
+    // Executes the commands of an answer or a direct command. Returns false without executing any
+    // if its fencing token is older than the newest one seen.
+    bool execute(const json::object &message) {
+        auto token = message.at("warrant").to_number<std::uint64_t>();
         if (token < warrant)
             return false;
         warrant = token;
-        ++answers;
-        for (auto &command : body.at("orders").as_array()) {
+        for (auto &command : message.at("orders").as_array()) {
             auto key = std::make_pair(std::string(command.at("thread").as_string()),
                                       command.at("try").to_number<std::uint64_t>());
             auto verb = command.at("verb").as_string();
@@ -392,11 +410,63 @@
                 return true;
         return false;
     }
-    // Ends the running task of the job as done.
-    void finish(const std::string &job) {
+    // Ends the running task of the job, as done if no other cause is given.
+    void finish(const std::string &job, const std::string &cause = "done") {
         for (auto &[key, present] : tasks)
             if (key.first == job + "/0" && present.state == "running")
-                present = {"exited", "done"};
+                present = {"exited", cause};
+    }
+};
+
+// A worker that also executes direct commands, and keeps them so that a test can repeat one.
+struct directly_commanded_worker : reporting_worker {
+    directly_commanded_worker(controllers &around, std::string machine)
+        : reporting_worker(around, std::move(machine)), at(free_address()),
+          server(
+              around.io, at, [this](net::request received) { return answer(std::move(received)); },
+              net::server_limits{}, "worker") {
+        address = fmt::format("{}:{}", at.host, at.port);
+        server.start();
+    }
+    directly_commanded_worker(const directly_commanded_worker &) = delete;
+    directly_commanded_worker &operator=(const directly_commanded_worker &) = delete;
+    // NOLINTNEXTLINE(bugprone-exception-escape): a throw here may end the test program
+    ~directly_commanded_worker() { server.stop(); }
+
+    settings::address at;
+    net::server server;
+    std::vector<std::string> executed_commands; // bodies of the direct commands, in order
+
+    // Returns the direct command that started the task, or an empty string.
+    std::string command_that_started(const std::string &task) const {
+        auto start = fmt::format(R"("verb":"start","thread":"{}")", task);
+        for (auto &body : executed_commands)
+            if (body.find(start) != std::string::npos)
+                return body;
+        return "";
+    }
+
+    // Sends a copy of a direct command to this worker, as the network may do at any time. Returns
+    // the status of the answer.
+    int repeat(const std::string &command) {
+        net::client network(c.io, at, 1);
+        net::reply reply;
+        bool is_done = false;
+        auto request = [&]() -> awaitable<void> {
+            reply = co_await network.call("POST", "/commands", command, 5s);
+            is_done = true;
+        };
+        net::spawn(c.io, request(), "late copy");
+        c.until([&] { return is_done; }, 6s);
+        return reply.status;
+    }
+
+  private:
+    awaitable<net::response> answer(net::request received) {
+        bool is_accepted = execute(json::parse(received.body).as_object());
+        if (is_accepted)
+            executed_commands.push_back(received.body);
+        co_return net::response{is_accepted ? 200 : 409, make_heartbeat(), 0, false};
     }
 };
 
--- a/tests/randomized_simulation.hpp
+++ b/tests/randomized_simulation.hpp
@@ -20,7 +20,7 @@
 namespace spindlecroft::test {
 
 struct simulation {
-    explicit simulation(unsigned seed) : random(seed) {}
+    explicit simulation(unsigned seed) : random(seed), copy_random(seed) {}
 
     // Runs for `length` from time zero; no faults are injected in the last two fifths.
     void run(seconds length);
@@ -83,6 +83,9 @@
 
     // --- clock and events ---
     boost::random::mt19937 random;
+    // For copies of commands alone, so that they leave the other random events of a seed as they
+    // are.
+    boost::random::mt19937 copy_random;
     settings::settings conf = small_settings();
     std::vector<machine_type> types = small_types();
     time_point now{};
@@ -152,9 +155,12 @@
         std::vector<command> commands;
         bool contains_start = false; // one of the commands is a start
         bool is_resolved = false;    // answered or timed out
+        bool is_copy = false;        // a late copy of an executed message; its answer is lost
     };
     void send_command(const std::string &name);
     void deliver_command(const std::shared_ptr<direct_message> &message);
+    // Delivers a copy of some executed messages up to a minute later, perhaps under another leader.
+    void copy_some(const direct_message &executed);
     bool may_renew() const;
     // True if a job with predecessors may have running tasks. A downgrade to the version before
     // dependencies is allowed only while this is false (docs/operations.md): a leader of that
@@ -203,7 +209,7 @@
     // Since when a machine has capacity for the job and the team's limit allows a start.
     std::map<std::string, time_point> waiting_since;
     std::map<std::string, int> starts_of_failing_jobs; // by job id
-    int starts = 0, leaders = 0, duplicate_heartbeats = 0, delayed_writes = 0,
+    int starts = 0, leaders = 0, duplicate_heartbeats = 0, command_copies = 0, delayed_writes = 0,
         cancels_by_notice = 0, cancels_at_task_end = 0;
     int jobs_with_predecessors = 0, dependent_start_checks = 0, cancelled_dependents = 0;
 
--- a/tests/randomized_simulation_test.cpp
+++ b/tests/randomized_simulation_test.cpp
@@ -18,6 +18,7 @@
     EXPECT_GT(sim.starts, 50);
     EXPECT_GT(sim.leaders, 1);
     EXPECT_GT(sim.duplicate_heartbeats, 10);
+    EXPECT_GT(sim.command_copies, 5);
     EXPECT_GT(sim.delayed_writes, 0);
     EXPECT_GT(sim.jobs_with_predecessors, 5);
     // Jobs that always fail start all their tasks once and are then retried at a low rate. A leader
--- a/tests/reconciliation_test.cpp
+++ b/tests/reconciliation_test.cpp
@@ -245,6 +245,98 @@
     EXPECT_FALSE(commands.take_token_raise_request(later)) << "already requested";
 }
 
+// Guards against a task that runs twice: a copy of an answered direct command would start an
+// attempt anew whose record was removed under the token of that command.
+TEST_F(reconciliation_test, record_of_a_directly_started_attempt_is_kept_until_a_higher_token) {
+    receive(make_heartbeat(1), at(1));
+    place_task();
+    ASSERT_EQ(commands.for_direct_command("i-1", start_permission::granted, at(2)).size(), 1u);
+    commands.mark_resolved("i-1");
+    auto exited = listed(task_state::exited, exit_cause::stopped);
+    receive(make_heartbeat(2, {exited}), at(2), heartbeat_origin::command_reply);
+    receive(make_heartbeat(3, {exited}), at(3));
+    EXPECT_FALSE(job().current_attempts.contains(0)) << "the attempt itself is over";
+    EXPECT_TRUE(commands.for_answer("i-1", start_permission::granted, at(3)).empty());
+    EXPECT_TRUE(commands.for_direct_command("i-1", start_permission::granted, at(3)).empty());
+    state.raise_token(current_token + 1);
+    auto answer = commands.for_answer("i-1", start_permission::granted, at(4));
+    ASSERT_EQ(answer.size(), 1u);
+    EXPECT_EQ(answer[0].kind, command_kind::remove);
+    EXPECT_EQ(answer[0].attempt, exited.attempt);
+}
+
+TEST_F(reconciliation_test, record_of_an_attempt_started_by_an_answer_is_removed_at_once) {
+    receive(make_heartbeat(1), at(1));
+    place_task();
+    ASSERT_EQ(commands.for_answer("i-1", start_permission::granted, at(1)).size(), 1u);
+    receive(make_heartbeat(2, {listed(task_state::exited, exit_cause::stopped)}), at(2));
+    auto answer = commands.for_answer("i-1", start_permission::granted, at(2));
+    ASSERT_EQ(answer.size(), 1u);
+    EXPECT_EQ(answer[0].kind, command_kind::remove);
+}
+
+TEST_F(reconciliation_test, new_incarnation_ends_the_wait_for_a_higher_token) {
+    receive(make_heartbeat(1), at(1));
+    place_task();
+    ASSERT_EQ(commands.for_direct_command("i-1", start_permission::granted, at(2)).size(), 1u);
+    commands.mark_resolved("i-1");
+    auto restarted = make_heartbeat(2, {listed(task_state::exited, exit_cause::stopped)});
+    restarted.incarnation = 2;
+    receive(restarted, at(3));
+    EXPECT_EQ(commands.for_answer("i-1", start_permission::granted, at(3)).size(), 1u);
+}
+
+TEST_F(reconciliation_test, record_awaiting_removal_requests_a_token_raise) {
+    receive(make_heartbeat(1), at(1));
+    commands.begin_term(at(1));
+    place_task();
+    ASSERT_EQ(commands.for_direct_command("i-1", start_permission::granted, at(2)).size(), 1u);
+    commands.mark_resolved("i-1");
+    auto due = at(2) + constants::min_token_raise_interval;
+    EXPECT_FALSE(commands.take_token_raise_request(due)) << "the attempt has not ended";
+    receive(make_heartbeat(2, {listed(task_state::exited, exit_cause::stopped)}), at(3));
+    EXPECT_FALSE(commands.take_token_raise_request(at(4)));
+    EXPECT_TRUE(commands.take_token_raise_request(due));
+    state.raise_token(current_token + 1);
+    EXPECT_FALSE(commands.take_token_raise_request(due + constants::max_record_removal_interval))
+        << "the record may be removed already";
+}
+
+// Every raise makes each machine of the fleet send a heartbeat, but records that are kept too long
+// would let the heartbeats of a machine with many short tasks grow without bound.
+TEST_F(reconciliation_test,
+       large_fleet_raises_the_token_rarely_unless_a_machine_keeps_many_records) {
+    for (int number = 0; number < 1000; ++number)
+        state.find_or_add_machine("other-" + std::to_string(number), at(1));
+    receive(make_heartbeat(1), at(1));
+    commands.begin_term(at(1));
+    std::vector<task_status> exited;
+    for (std::size_t count = 0; count <= constants::max_records_awaiting_removal; ++count) {
+        auto status = listed(task_state::exited, exit_cause::stopped);
+        status.attempt = 100 + count;
+        machine().directly_started.insert(status.attempt);
+        exited.push_back(status);
+    }
+    auto early = at(2) + constants::min_token_raise_interval;
+    receive(make_heartbeat(2, {exited.begin(), exited.end() - 1}), at(2));
+    EXPECT_FALSE(commands.take_token_raise_request(early));
+    receive(make_heartbeat(3, exited), at(3));
+    EXPECT_TRUE(commands.take_token_raise_request(early));
+    receive(make_heartbeat(4, {exited.front()}), at(4));
+    auto late = early + constants::max_record_removal_interval + 1s;
+    EXPECT_FALSE(commands.take_token_raise_request(late - 2s));
+    EXPECT_TRUE(commands.take_token_raise_request(late));
+}
+
+// Records of exited tasks must not cost a machine its lease while cancels may be unknown.
+TEST_F(reconciliation_test, machine_with_records_of_exited_tasks_only_has_no_tasks) {
+    auto exited = make_heartbeat(1, {listed(task_state::exited, exit_cause::stopped)});
+    receive(exited, at(1));
+    EXPECT_TRUE(heartbeats.has_no_tasks(exited));
+    place_task().phase = attempt_phase::sent;
+    EXPECT_FALSE(heartbeats.has_no_tasks(exited)) << "a start is on its way";
+}
+
 TEST_F(reconciliation_test, unknown_running_task_is_adopted_and_stopped) {
     receive(make_heartbeat(1, {listed(task_state::running)}), at(1));
     ASSERT_TRUE(job().current_attempts.contains(0));
--- a/tests/simulated_leader.cpp
+++ b/tests/simulated_leader.cpp
@@ -4,6 +4,7 @@
 #include "randomized_simulation.hpp"
 #include "store/keys.hpp"
 #include <algorithm>
+#include <boost/random/uniform_real_distribution.hpp>
 #include <fmt/format.h>
 
 namespace spindlecroft::test {
@@ -153,7 +154,10 @@
     if (message->token >= worker.token && message->incarnation == worker.incarnation) {
         worker.token = message->token;
         execute(worker, message->commands);
+        copy_some(*message);
     }
+    if (message->is_copy)
+        return;
     auto response = make_heartbeat(worker);
     if (chance(0.1))
         return;
@@ -167,6 +171,20 @@
     });
 }
 
+void simulation::copy_some(const direct_message &executed) {
+    constexpr double copied_share = 0.4;
+    constexpr double min_delay = 1, max_delay = 60; // s
+    if (is_fault_free || executed.is_copy ||
+        boost::random::uniform_real_distribution<double>(0, 1)(copy_random) >= copied_share)
+        return;
+    auto copy = std::make_shared<direct_message>(executed);
+    copy->is_copy = true;
+    ++command_copies;
+    seconds delay{
+        boost::random::uniform_real_distribution<double>(min_delay, max_delay)(copy_random)};
+    schedule(now + delay, [this, copy] { deliver_command(copy); });
+}
+
 bool simulation::may_renew() const {
     return membership::may_renew_lease(now, cancels_known_until, conf.lease_duration,
                                        conf.cancel_deadline);
