Review case 5: several arrays instead of one; ports are given out once

The stand-ins gave a port out twice in one run, so that a controller could not start; such a run now counts as one that could not run.

--- a/review/5/test.cpp
+++ b/review/5/test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double longest_wait_s = 90;
+constexpr int arrays = 6;
 constexpr double task_s = 0.5;
 
 std::string observe(world &around) {
@@ -26,18 +27,23 @@
     around.spawn(around.follow(&service));
     around.run(2);
     if (with_trouble()) {
-        auto &lookups = around.make_job("job-000002",
-                                        {{"crew", "plataforma-2"},
-                                         {"threads", 400},
-                                         {"cores", 0.25},
-                                         {"memGb", 0.25},
-                                         {"loaners", false}},
-                                        task_s);
-        around.spawn(around.follow(&lookups));
-        around.run(6);
-        around.record(fmt::format("{} of 400 short tasks are done", lookups.done.size()));
+        std::size_t done = 0;
+        for (int number = 2; number < 2 + arrays; ++number) {
+            auto &lookups = around.make_job(fmt::format("job-{:06}", number),
+                                            {{"crew", "plataforma-2"},
+                                             {"threads", 300},
+                                             {"cores", 0.25},
+                                             {"memGb", 0.25},
+                                             {"loaners", false}},
+                                            task_s);
+            around.spawn(around.follow(&lookups));
+            around.run(2);
+        }
+        for (auto &[uid, each] : around.jobs)
+            done += each.done.size();
+        around.record(fmt::format("{} of {} short tasks are done", done, arrays * 300));
     }
-    auto &waiting = around.make_job("job-000003", {{"loaners", false}}, 5);
+    auto &waiting = around.make_job("job-000100", {{"loaners", false}}, 5);
     around.spawn(around.follow(&waiting));
     around.until([&] { return waiting.accepted_at.has_value(); }, 10);
     if (!waiting.accepted_at)
--- a/review/second/cloud.cpp
+++ b/review/second/cloud.cpp
@@ -22,6 +22,13 @@
             {"crofts", crofts}};
 }
 
+const char *stage_of(const worker &machine, double at) {
+    constexpr double unnoticed_s = 30;
+    if (machine.failed_at > 0 && at > machine.failed_at + unnoticed_s)
+        return "failed";
+    return machine.up ? "running" : "starting";
+}
+
 } // namespace
 
 awaitable<net::response> cloud::answer(net::request message) {
@@ -73,7 +80,7 @@
                                         {"frame", machine.type.name},
                                         {"croft", machine.zone},
                                         {"loaners", machine.spot},
-                                        {"stage", machine.up ? "running" : "starting"},
+                                        {"stage", stage_of(machine, at)},
                                         {"heldS", at - life.from}});
     }
     return say(200, json::object{{"spindles", spindles}, {"more", false}});
--- a/review/second/verdict.hpp
+++ b/review/second/verdict.hpp
@@ -12,6 +12,8 @@
         world around(settings, folder);
         try {
             auto finding = body(around);
+            if (around.could_not_start)
+                throw std::runtime_error("a controller did not start");
             around.record(finding.empty() ? "the rule held" : "RULE BROKEN: " + finding);
             std::puts(finding.empty() ? "held" : finding.c_str());
             return finding.empty() ? 0 : 1;
--- a/review/second/worker.cpp
+++ b/review/second/worker.cpp
@@ -42,6 +42,13 @@
         server_->stop();
 }
 
+// The cloud lists it as running for about 30 s more, then as failed.
+void worker::fail() {
+    failed_at = world_.now();
+    world_.record(name + " stops with all that is on it");
+    die();
+}
+
 std::string worker::status() {
     json::array threads;
     for (auto &[key, each] : tasks) {
--- a/review/second/world.cpp
+++ b/review/second/world.cpp
@@ -143,18 +143,23 @@
     return std::uniform_real_distribution<double>(from, to)(random);
 }
 
-// A port that is free on a loopback address that only this process uses.
+// A port that is free on a loopback address that only this process uses. None is given out twice,
+// since most are bound later, by the controllers.
 address world::free_address() {
-    int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    ::inet_pton(AF_INET, host_.c_str(), &at.sin_addr);
-    socklen_t size = sizeof at;
-    if (::bind(handle, reinterpret_cast<sockaddr *>(&at), size) != 0 ||
-        ::getsockname(handle, reinterpret_cast<sockaddr *>(&at), &size) != 0)
-        throw std::runtime_error("no free port");
-    ::close(handle);
-    return {host_, ntohs(at.sin_port)};
+    for (;;) {
+        int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        ::inet_pton(AF_INET, host_.c_str(), &at.sin_addr);
+        socklen_t size = sizeof at;
+        bool bound = ::bind(handle, reinterpret_cast<sockaddr *>(&at), size) == 0 &&
+                     ::getsockname(handle, reinterpret_cast<sockaddr *>(&at), &size) == 0;
+        ::close(handle);
+        if (!bound)
+            throw std::runtime_error("no free port");
+        if (given_ports_.insert(ntohs(at.sin_port)).second)
+            return {host_, ntohs(at.sin_port)};
+    }
 }
 
 // --- controllers ---
@@ -244,6 +249,7 @@
         throw std::runtime_error("can't start " + words[0]);
     }
     running_pids.at(node) = pids_[node];
+    started_at_.at(node) = now();
     record(fmt::format("controller {} started", node));
 }
 
@@ -282,7 +288,13 @@
         return false;
     pids_[node] = 0;
     running_pids.at(node) = 0;
-    broken("crash", fmt::format("controller {} ended by itself, status {}", node, how));
+    auto what = fmt::format("controller {} ended by itself, status {}", node, how);
+    if (now() < started_at_.at(node) + 2) {
+        record(what + " at its start");
+        could_not_start = true;
+    } else {
+        broken("crash", what);
+    }
     return true;
 }
 
--- a/review/second/world.hpp
+++ b/review/second/world.hpp
@@ -144,6 +144,8 @@
     worker(world &around, std::string name, deployment::type type, std::string zone, bool spot);
     void start(); // it is up: its server listens and its reports begin
     void die();
+    void fail(); // it stops with all that is on it
+    double failed_at = 0;
 
     std::string name, zone;
     deployment::type type;
@@ -281,6 +283,7 @@
     std::size_t started = 0, starts_after_cancel = 0;
     double latest_start_after_cancel = 0; // seconds after the confirmation
 
+    bool could_not_start = false; // a controller ended right after its start
     address free_address();
     net::client &user_client(std::size_t node) { return *clients_[node]; }
     std::map<std::string, double> result_; // tasks whose result is kept
@@ -298,6 +301,8 @@
     std::vector<address> api_, back_, state_at_, cloud_at_;
     std::vector<pid_t> pids_;
     std::vector<bool> stopped_;
+    std::array<double, 8> started_at_{};
+    std::set<unsigned> given_ports_;
     std::vector<std::unique_ptr<net::server>> servers_;
     std::vector<std::unique_ptr<net::client>> clients_;
     std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<link>> links_;
