--- a/review/second/worker.cpp
+++ b/review/second/worker.cpp
@@ -156,8 +156,13 @@
             changed();
         }
         for (auto &[key, each] : tasks) {
-            if (each.stage == "pulling" && (each.fetch_left -= passed) <= 0) {
-                images_.insert(std::string(each.of->body.at("bobbin").as_string()));
+            if (each.stage == "pulling") {
+                // An image is fetched once for all tasks that wait for it.
+                auto image = std::string(each.of->body.at("bobbin").as_string());
+                each.fetch_left -= passed;
+                if (each.fetch_left > 0 && !images_.contains(image))
+                    continue;
+                images_.insert(image);
                 hold(each);
             } else if (each.stage == "running" && each.of->is_array &&
                        (each.run_left -= passed) <= 0) {
